--- /dev/null
+++ b/src/decision/policy.cpp
@@ -0,0 +1,555 @@
+// Every decision of a front: which server a play is set up on, at which rung, or that it is declined.
+// Called through policy.h: clock() first, then one call for each thing that happened; answers go out through
+// Answers during the call. place() is the ordinary path of a play, top to bottom; the rest feeds it.
+#include "decision/policy.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <random>
+
+namespace snowshore {
+
+double log_overrun_bound(std::span<const RateGroup> groups, double link) {
+  double mean = 0, ceiling = INFINITY; // ceiling: the smallest alpha
+  for (const RateGroup &g : groups) {
+    if (g.plays <= 0) continue;
+    mean += g.plays * g.rate;
+    ceiling = std::min(ceiling, 1 / (g.variation * g.variation * g.rate));
+  }
+  if (mean <= 0) return link > 0 ? -INFINITY : 0;
+  if (mean >= link) return 0;
+  double low = 0, high = 1; // theta over ceiling; the exponent is convex, so its slope changes sign once
+  for (int i = 0; i < 40; ++i) {
+    double theta = (low + high) / 2 * ceiling, slope = -link;
+    for (const RateGroup &g : groups) {
+      if (g.plays <= 0) continue;
+      double spread = g.variation * g.variation;
+      slope += g.plays / spread / (1 / (spread * g.rate) - theta);
+    }
+    (slope < 0 ? low : high) = (low + high) / 2;
+  }
+  double theta = low * ceiling, exponent = -theta * link;
+  for (const RateGroup &g : groups) {
+    if (g.plays <= 0) continue;
+    double spread = g.variation * g.variation;
+    exponent -= g.plays / spread * std::log1p(-theta * spread * g.rate);
+  }
+  return std::min(exponent, 0.0);
+}
+
+namespace {
+
+// ---- Values that are ours to tune; everything else comes from the settings or is observed.
+constexpr double kTolerance = 0.01;  // of a link's overrunning (the paper's one percent)
+constexpr double kVariation = 0.5;   // variation coefficient of a play's rate
+constexpr double kNewsLife = 10;     // a told use older than this no longer counts
+constexpr double kReportAge = 0.4;   // how far behind a load report is held to be
+constexpr double kFirstAvoid = 1;    // after one failure a server is left alone so long, doubling
+constexpr double kLongestAvoid = 8;  // up to this
+constexpr double kColdSafety = 0.8;  // part of a cold server's budget that fronts use
+constexpr double kSetUpGuess = 0.15; // usual set-up time before any was seen
+constexpr double kLeastSetUp = 0.1;  // no allocation starts with less time left than this
+constexpr std::size_t kChangesKept = 64;
+
+enum class PlayState { vacant, asked, allocating, playing, ending };
+
+struct Play {
+  PlayState state = PlayState::vacant;
+  PlayTerms terms;
+  int server = -1;
+  int rung = 0;
+  int allocations = 0;
+  double target_at = 0, limit_at = 0, started = 0;
+  bool may_have_run = false;
+  std::array<int, 8> tried{}; // servers already allocated to
+};
+
+struct Change { // a play of ours set up, ended or stepped on a link
+  double at;
+  int group;
+  int plays;
+};
+
+struct Link { // a server's link or a rack's uplink
+  double capacity = 0;
+  double told = 0;             // asked over given, when last told
+  double told_at = -1e9;       // the moment the told use is of
+  std::vector<int> own;        // this front's plays, by product and rung
+  std::vector<Change> changes; // ours since told_at
+};
+
+struct Server {
+  ServerEntry entry;
+  bool listed = false, known = false;
+  Link link;
+  int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
+  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9;
+  int strikes = 0;
+};
+
+std::uint64_t mix(std::uint64_t x) { // splitmix64's finish: the hash that fronts share
+  x += 0x9e3779b97f4a7c15ULL;
+  x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ x >> 27) * 0x94d049bb133111ebULL;
+  return x ^ x >> 31;
+}
+
+class ChernoffFront final : public Front {
+ public:
+  ChernoffFront(const Given &given, std::uint64_t seed, double now, Answers &answers)
+      : given_(given), answers_(answers), chance_(static_cast<std::uint32_t>(seed % 2147483646 + 1)),
+        now_(now), opened_(now) {
+    rates_ = list("rung_rates");
+    rung_worth_ = list("rung_importance");
+    factors_ = list("product_rate_factors");
+    floors_ = list("product_floors");
+    tops_ = list("product_tops");
+    seats_ = list("product_seats");
+    kind_places_ = list("kind_places");
+    fronts_ = std::max(1.0, number("fronts", 1));
+    cells_ = std::max(1, static_cast<int>(number("cells", 1)));
+    warm_up_ = number("warm_up", 0);
+    note_delay_ = number("note_delay", 1);
+    uplinks_told_ = text("load_fields").find("uplink") != std::string::npos;
+    products_ = static_cast<int>(number("products", 1));
+    for (int p = 0; p < products_; ++p) {
+      std::string name = "product." + std::to_string(p) + ".";
+      targets_.push_back(number(name + "first_frame_target", 1));
+      limits_.push_back(number(name + "time_limit", 4));
+      safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
+    }
+    racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
+    for (Link &uplink : racks_) open_link(uplink, number("rack_uplink", 0));
+    if (text("list_mode") == "on_request") answers_.follow_list();
+  }
+
+  void clock(double now) override { now_ = now; }
+
+  void list_changed(ListKind kind, std::span<const ServerEntry> entries) override {
+    if (kind == ListKind::unavailable) { // the list in hand stays in force; ask again, spread over fronts
+      answers_.set_timer(1 + chance(), kAskList);
+      return;
+    }
+    if (kind != ListKind::changes) {
+      for (Server &server : servers_) server.listed = false;
+    }
+    for (const ServerEntry &entry : entries) {
+      if (entry.server >= static_cast<int>(servers_.size()))
+        servers_.resize(static_cast<std::size_t>(entry.server) + 1);
+      Server &server = servers_[static_cast<std::size_t>(entry.server)];
+      if (entry.started > 0 && entry.started > server.entry.started) {
+        server.cold_since = std::max(server.cold_since, entry.started);
+        if (server.known) server.strikes = 0, server.avoid_until = now_;
+      }
+      server.entry = entry;
+      server.listed = entry.standing == Standing::active;
+      if (!server.known) open_link(server.link, 0);
+      server.known = true;
+      server.link.capacity = entry.weight * number("link_per_weight", 0);
+      server.rack = entry.cell % static_cast<int>(racks_.size());
+    }
+  }
+
+  void play_asked(int index, const PlayTerms &terms) override {
+    Play &play = take(index, terms);
+    play.limit_at = now_ + terms.time_left.value_or(limits_[at(terms.product)]);
+    play.target_at = now_ + std::min(targets_[at(terms.product)], play.limit_at - now_);
+    note_taken();
+    become(index, PlayState::asked);
+    place(index);
+  }
+
+  void play_handed_over(int index, int server, const PlayTerms &terms) override {
+    Play &play = take(index, terms);
+    if (server >= static_cast<int>(servers_.size())) servers_.resize(at(server) + 1);
+    if (!servers_[at(server)].known) open_link(servers_[at(server)].link, 0);
+    play.server = server;
+    play.rung = lowest(terms.product);
+    play.allocations = 1;
+    play.started = -1e9;
+    handed_over_ = true;
+    become(index, PlayState::playing);
+  }
+
+  void play_starts(int index, int allocation, double delay) override {
+    Play &play = plays_[at(index)];
+    if (play.state != PlayState::allocating || allocation != play.allocations - 1) return;
+    usual_set_up_ += 0.1 * (delay - usual_set_up_);
+    play.started = now_;
+    Server &server = servers_[at(play.server)];
+    server.strikes = 0;
+    server.avoid_until = now_;
+    become(index, PlayState::playing);
+  }
+
+  void allocation_ended(int index, int allocation, Outcome outcome, bool concluded,
+                        const LoadReport &report) override {
+    Play &play = plays_[at(index)];
+    if (allocation != play.allocations - 1 || play.state == PlayState::vacant ||
+        play.state == PlayState::asked)
+      return;
+    PlayState before = play.state;
+    judge(play, outcome);
+    read_report(play.server, report, now_ - kReportAge);
+    if (concluded || before != PlayState::allocating) return finish(index);
+    if (outcome != Outcome::busy && outcome != Outcome::unreachable && outcome != Outcome::skipped)
+      play.may_have_run = true;
+    become(index, PlayState::asked);
+    place(index);
+  }
+
+  void note_on_play(int index, NoteKind kind, double value) override {
+    Play &play = plays_[at(index)];
+    if (play.state == PlayState::vacant || play.server < 0) return;
+    Server &server = servers_[at(play.server)];
+    double as_of = now_ - play.started < kReportAge ? now_ : now_ - note_delay_;
+    if (kind == NoteKind::rung) {
+      step_to(index, static_cast<int>(value));
+    } else if (kind == NoteKind::link_asked) {
+      hear(server.link, value, as_of);
+    } else if (kind == NoteKind::uplink_asked) {
+      hear(racks_[at(server.rack)], value, as_of);
+    } else if (value < 0.98) { // short of something: the link is at least so much overrun
+      hear(server.link, std::max(server.link.told, 1 / std::max(value, 0.05)), now_ - note_delay_);
+    }
+  }
+
+  void viewer_left(int index) override {
+    Play &play = plays_[at(index)];
+    if (play.state == PlayState::vacant) return;
+    if (play.state == PlayState::asked) return finish(index);
+    if (play.state == PlayState::allocating) become(index, PlayState::ending);
+  }
+
+  void probe_answered(int server, Outcome outcome, const LoadReport &report) override {
+    if (outcome == Outcome::done) return read_report(server, report, now_ - kReportAge);
+    strike(servers_[at(server)]);
+  }
+
+  void timer(int label) override {
+    if (label == kAskList) answers_.follow_list();
+  }
+
+ private:
+  enum Label { kAskList = 1 };
+
+  // The ordinary path: the highest rung that passes, on the roomiest holder, or an answer at once.
+  void place(int index) {
+    Play &play = plays_[at(index)];
+    const PlayTerms &terms = play.terms;
+    int low = lowest(terms.product);
+    int top = std::min({terms.best_rung, static_cast<int>(tops_[at(terms.product)]), rungs() - 1});
+    bool first = play.allocations == 0;
+    if (!first && play.may_have_run && !safe_[at(terms.product)]) return give_up(index);
+    if (play.allocations >= allocations_allowed() || (!first && !may_go_further())) return give_up(index);
+    if (now_ >= play.target_at || play.limit_at - now_ < kLeastSetUp) return give_up(index);
+    if (!seat_free(terms)) return give_up(index);
+
+    int best = -1, best_rung = -1;
+    double best_room = 0;
+    for (int rung = top; rung >= low && best < 0; --rung) {
+      for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
+        if (!open_to(s, play)) continue;
+        double rate = rate_of(terms.product, rung);
+        if (!passes(servers_[at(s)].link, rate)) continue;
+        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], rate)) continue;
+        double room = servers_[at(s)].link.capacity - demand_;
+        bool roomier =
+            best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
+        if (roomier) best = s, best_rung = rung, best_room = room;
+      }
+    }
+    if (best < 0) return give_up(index);
+
+    if (!first) further_at_.push_back(now_);
+    play.server = best;
+    play.rung = best_rung;
+    play.tried[at(play.allocations) % play.tried.size()] = best;
+    ++play.allocations;
+    servers_[at(best)].last_sent = now_;
+    answers_.set_rung(index, best_rung);
+    answers_.allocate(index, best, time_out(play));
+    become(index, PlayState::allocating);
+    if (play.allocations == 1) probe_stalest();
+  }
+
+  // The final answer when nothing more is tried: a decline where that is safe to say, else a failure.
+  void give_up(int index) {
+    Play &play = plays_[at(index)];
+    if (play.may_have_run && !safe_[at(play.terms.product)]) {
+      answers_.fail(index);
+    } else {
+      answers_.decline(index, number("longest_retry_after", 0) * (0.5 + 0.5 * chance()));
+    }
+    finish(index);
+  }
+
+  void finish(int index) {
+    become(index, PlayState::vacant);
+    answers_.forget(index);
+  }
+
+  // The one place where a play's state changes; it keeps the tallies in step.
+  void become(int index, PlayState next) {
+    Play &play = plays_[at(index)];
+    bool was_out = holds(play.state), is_out = holds(next);
+    if (was_out != is_out && play.server >= 0) {
+      tally(play, is_out ? 1 : -1);
+      seat(play.terms) += is_out ? 1 : -1;
+      servers_[at(play.server)].plays += is_out ? 1 : -1;
+    }
+    if (play.server >= 0)
+      servers_[at(play.server)].out +=
+          (next == PlayState::allocating) - (play.state == PlayState::allocating);
+    play.state = next;
+  }
+  static bool holds(PlayState state) {
+    return state == PlayState::allocating || state == PlayState::playing || state == PlayState::ending;
+  }
+
+  void step_to(int index, int rung) {
+    Play &play = plays_[at(index)];
+    if (rung == play.rung || rung < 0 || rung >= rungs()) return;
+    tally(play, -1);
+    play.rung = rung;
+    tally(play, 1);
+  }
+
+  // ---- The mechanism: demand on a link and the test.
+  bool passes(const Link &link, double rate) {
+    gather(link);
+    groups_.push_back({1, rate, kVariation});
+    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance);
+  }
+
+  // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
+  // own.
+  void gather(const Link &link) {
+    groups_.clear();
+    double own = 0, since = 0;
+    for (int g = 0; g < static_cast<int>(link.own.size()); ++g) own += link.own[at(g)] * group_rate(g);
+    bool news = now_ - link.told_at < kNewsLife;
+    double told = news ? link.told * link.capacity : own * fronts_;
+    if (news) {
+      for (const Change &change : link.changes) {
+        if (change.plays > 0) {
+          groups_.push_back({static_cast<double>(change.plays), group_rate(change.group), kVariation});
+          since += change.plays * group_rate(change.group);
+        } else {
+          told += change.plays * group_rate(change.group);
+        }
+      }
+    }
+    told = std::max({told, own - since, 0.0});
+    demand_ = told + since;
+    double middle = group_rate(rungs() / 2);
+    if (told > 0) groups_.push_back({told / middle, middle, kVariation});
+  }
+
+  void hear(Link &link, double asked, double as_of) {
+    if (as_of < link.told_at) return;
+    link.told = asked;
+    link.told_at = as_of;
+    std::erase_if(link.changes, [&](const Change &c) { return c.at <= as_of; });
+  }
+
+  void read_report(int index, const LoadReport &report, double as_of) {
+    if (index < 0) return;
+    Server &server = servers_[at(index)];
+    if (report.link) {
+      hear(server.link, *report.link, as_of);
+    } else if (report.link_share) { // capped: at one it only says at least
+      hear(server.link, *report.link_share < 0.99 ? *report.link_share : std::max(1.0, server.link.told),
+           as_of);
+    }
+    if (report.uplink) hear(racks_[at(server.rack)], *report.uplink, as_of);
+  }
+
+  void tally(const Play &play, int plays) {
+    int group = play.terms.product * rungs() + play.rung;
+    Server &server = servers_[at(play.server)];
+    for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
+      link->own[at(group)] += plays;
+      if (link->changes.size() >= kChangesKept) link->changes.erase(link->changes.begin());
+      link->changes.push_back({now_, group, plays});
+    }
+  }
+
+  // ---- Which servers may be sent to.
+  bool open_to(int s, const Play &play) const {
+    const Server &server = servers_[at(s)];
+    if (!server.listed || now_ < server.avoid_until || (server.strikes > 0 && server.out > 0)) return false;
+    int steps = (server.entry.cell - play.terms.first_cell) % cells_;
+    if ((steps < 0 ? steps + cells_ : steps) >= play.terms.cells) return false;
+    for (int i = 0; i < std::min(play.allocations, static_cast<int>(play.tried.size())); ++i) {
+      if (play.tried[at(i)] == s) return false;
+    }
+    return cold_allows(server);
+  }
+
+  // Rule: a cold server is never pushed over by all fronts together. A front keeps to its part of the least
+  // budget (the share a server starts with), evenly spaced; where that is under one set-up a span, fronts
+  // take turns by the clock, with a span's pause between turns.
+  bool cold_allows(const Server &server) const {
+    double since = std::max(server.cold_since, handed_over_ ? -1e9 : opened_);
+    if (now_ - since >= warm_up_) return true;
+    double places = server.entry.kind >= 0 && at(server.entry.kind) < kind_places_.size()
+                        ? kind_places_[at(server.entry.kind)]
+                        : 0;
+    double span = number("fall_span", 1);
+    double budget =
+        number("fall_multiple", 1) * places / warm_up_ * number("cold_share", 0) * span * kColdSafety;
+    double quiet = now_ - server.last_sent;
+    if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
+    if (budget < 1) return false;
+    int turns = static_cast<int>(std::ceil(fronts_ / std::floor(budget)));
+    double beat = std::floor(now_ / (2 * span));
+    bool ours = std::fmod(beat, turns) == static_cast<int>(number("front_index", 0)) % turns;
+    return ours && now_ - beat * 2 * span < span && quiet >= span;
+  }
+
+  void judge(const Play &play, Outcome outcome) {
+    Server &server = servers_[at(play.server)];
+    bool lost = outcome == Outcome::reset || outcome == Outcome::unreachable;
+    if (lost || (outcome == Outcome::timed_out && play.state == PlayState::allocating)) {
+      server.cold_since = now_; // whatever comes back may be cold
+      if (now_ >= server.avoid_until) strike(server);
+    } else if (outcome == Outcome::busy) {
+      server.avoid_until = std::max(server.avoid_until, now_ + kFirstAvoid);
+    }
+  }
+
+  void strike(Server &server) {
+    server.avoid_until = now_ + std::min(kLongestAvoid, kFirstAvoid * std::exp2(server.strikes));
+    ++server.strikes;
+  }
+
+  // ---- Terms, seats and the budget of further allocations.
+  bool seat_free(const PlayTerms &terms) {
+    double seats = terms.product < static_cast<int>(seats_.size()) ? seats_[at(terms.product)] : 0;
+    return seats <= 0 || seat(terms) < static_cast<int>(seats);
+  }
+
+  int &seat(const PlayTerms &terms) {
+    std::size_t place = at(terms.title) * at(products_) + at(terms.product);
+    if (place >= seats_held_.size()) seats_held_.resize(std::max(place + 1, 2 * seats_held_.size()));
+    return seats_held_[place];
+  }
+
+  void note_taken() {
+    if (number("further_span", 0) > 0) taken_at_.push_back(now_);
+  }
+
+  bool may_go_further() {
+    double span = number("further_span", 0);
+    if (span <= 0) return true;
+    auto old = [&](double t) { return t <= now_ - span; };
+    std::erase_if(taken_at_, old);
+    std::erase_if(further_at_, [&](double t) { return t < now_ - span; });
+    return static_cast<double>(further_at_.size()) + 1 <=
+           number("further_free", 0) + number("further_share", 0) * static_cast<double>(taken_at_.size());
+  }
+
+  int allocations_allowed() const { return static_cast<int>(number("allocations_per_play", 1)); }
+
+  // Leaves room for another allocation before the first-frame target, unless this is the last.
+  double time_out(const Play &play) const {
+    double limit = play.limit_at - now_;
+    if (!safe_[at(play.terms.product)] || play.allocations >= allocations_allowed()) return limit;
+    double target = play.target_at - now_;
+    return std::min(limit, std::max(target / 2, std::min(target, 3 * usual_set_up_)));
+  }
+
+  // Where load is told to probes only: one probe for each play taken, to the server heard of least lately.
+  void probe_stalest() {
+    if (text("load_comes_with") != "probe" || number("may_probe", 0) == 0) return;
+    int stalest = -1;
+    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
+      if (!servers_[at(s)].listed) continue;
+      if (stalest < 0 || servers_[at(s)].probed_at < servers_[at(stalest)].probed_at) stalest = s;
+    }
+    if (stalest < 0) return;
+    servers_[at(stalest)].probed_at = now_;
+    answers_.probe(stalest);
+  }
+
+  // ---- Small helpers.
+  static std::size_t at(int i) { return static_cast<std::size_t>(i); }
+  int rungs() const { return static_cast<int>(rates_.size()); }
+  int lowest(int product) const { return static_cast<int>(floors_[at(product)]); }
+  double rate_of(int product, int rung) const { return rates_[at(rung)] * factors_[at(product)]; }
+  double group_rate(int group) const { return rate_of(group / rungs(), group % rungs()); }
+  double chance() { return static_cast<double>(chance_() - 1) / 2147483646.0; }
+  std::uint64_t hash(const PlayTerms &terms, int s) const {
+    return mix(terms.viewer ^ mix(servers_[at(s)].entry.number));
+  }
+
+  Play &take(int index, const PlayTerms &terms) {
+    if (at(index) >= plays_.size()) plays_.resize(at(index) + 1);
+    Play &play = plays_[at(index)];
+    play = Play{};
+    play.terms = terms;
+    return play;
+  }
+
+  void open_link(Link &link, double capacity) {
+    link.capacity = capacity;
+    link.own.assign(at(products_ * rungs()), 0);
+    link.changes.reserve(kChangesKept);
+  }
+
+  std::string text(const std::string &name) const {
+    auto it = given_.find(name);
+    return it == given_.end() ? std::string() : it->second;
+  }
+
+  double number(const std::string &name, double fallback) const {
+    auto it = given_.find(name);
+    if (it == given_.end()) return fallback;
+    if (it->second == "true") return 1;
+    if (it->second == "false") return 0;
+    double value = fallback;
+    std::from_chars(it->second.data(), it->second.data() + it->second.size(), value);
+    return value;
+  }
+
+  std::vector<double> list(const std::string &name) const {
+    std::vector<double> values;
+    std::string all = text(name);
+    for (std::size_t from = 0; from < all.size();) {
+      std::size_t to = std::min(all.find(',', from), all.size());
+      double value = 0;
+      std::from_chars(all.data() + from, all.data() + to, value);
+      values.push_back(value);
+      from = to + 1;
+    }
+    return values;
+  }
+
+  Given given_;
+  Answers &answers_;
+  std::minstd_rand chance_;
+  double now_, opened_;
+  std::vector<double> rates_, rung_worth_, factors_, floors_, tops_, seats_, kind_places_, targets_, limits_;
+  std::vector<bool> safe_;
+  double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
+  int cells_ = 1, products_ = 1;
+  bool uplinks_told_ = false, handed_over_ = false;
+  std::vector<Server> servers_;
+  std::vector<Link> racks_;
+  std::vector<Play> plays_;
+  std::vector<int> seats_held_;
+  std::vector<double> taken_at_, further_at_;
+  std::vector<RateGroup> groups_;
+  double demand_ = 0;
+};
+
+} // namespace
+
+std::unique_ptr<Front> make_front(const Given &given, std::uint64_t seed, double now, Answers &answers) {
+  return std::make_unique<ChernoffFront>(given, seed, now, answers);
+}
+
+} // namespace snowshore
