--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -42,8 +42,8 @@
 namespace {
 
 // ---- Values that are ours to tune; everything else comes from the settings or is observed.
-constexpr double kTolerance = 0.01;  // of a link's overrunning (the paper's one percent)
-constexpr double kVariation = 0.5;   // variation coefficient of a play's rate
+constexpr double kTolerance = 0.01;  // of a link's overrunning (the one percent of the paper)
+constexpr double kVariation = 0.3;   // variation coefficient of a play's rate
 constexpr double kNewsLife = 10;     // a told use older than this no longer counts
 constexpr double kReportAge = 0.4;   // how far behind a load report is held to be
 constexpr double kFirstAvoid = 1;    // after one failure a server is left alone so long, doubling
@@ -204,7 +204,8 @@
     Play &play = plays_[at(index)];
     if (play.state == PlayState::vacant || play.server < 0) return;
     Server &server = servers_[at(play.server)];
-    double as_of = now_ - play.started < kReportAge ? now_ : now_ - note_delay_;
+    bool at_set_up = play.state == PlayState::allocating || now_ - play.started < 0.05; // of now, not of a while ago
+    double as_of = at_set_up ? now_ : now_ - note_delay_;
     if (kind == NoteKind::rung) {
       step_to(index, static_cast<int>(value));
     } else if (kind == NoteKind::link_asked) {
