Tolerance tightens for rungs that earn little for their rate

Cause: the highest passing rung filled links with top rungs that earn a fifth per kB of the middle ones; later plays were declined.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -42,8 +42,9 @@
 namespace {
 
 // ---- Values that are ours to tune; everything else comes from the settings or is observed.
-constexpr double kTolerance = 0.01;  // of a link's overrunning (the one percent of the paper)
+constexpr double kTolerance = 0.1;   // of a link's overrunning (the one percent of the paper)
 constexpr double kVariation = 0.3;   // variation coefficient of a play's rate
+constexpr double kThrift = 1.0;      // how much tighter the test is for a rung that earns less for its rate
 constexpr double kNewsLife = 10;     // a told use older than this no longer counts
 constexpr double kReportAge = 0.4;   // how far behind a load report is held to be
 constexpr double kFirstAvoid = 1;    // after one failure a server is left alone so long, doubling
@@ -120,6 +121,19 @@
       limits_.push_back(number(name + "time_limit", 4));
       safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
     }
+    // A rung that earns less for its rate is held to a tighter tolerance.
+    double best_earning = 0;
+    std::vector<double> earning;
+    for (int r = 0; r < rungs(); ++r) {
+      double more = rung_worth_[at(r)] - (r > 0 ? rung_worth_[at(r - 1)] : 0);
+      earning.push_back(more / (rates_[at(r)] - (r > 0 ? rates_[at(r - 1)] : 0)));
+      best_earning = std::max(best_earning, earning.back());
+    }
+    for (int r = 0; r < rungs(); ++r) {
+      for (int above = r + 1; above < rungs(); ++above)
+        earning[at(r)] = std::max(earning[at(r)], earning[at(above)]);
+      strictness_.push_back(std::pow(best_earning / earning[at(r)], kThrift));
+    }
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
     for (Link &uplink : racks_) open_link(uplink, number("rack_uplink", 0));
     if (text("list_mode") == "on_request") answers_.follow_list();
@@ -204,7 +218,8 @@
     Play &play = plays_[at(index)];
     if (play.state == PlayState::vacant || play.server < 0) return;
     Server &server = servers_[at(play.server)];
-    bool at_set_up = play.state == PlayState::allocating || now_ - play.started < 0.05; // of now, not of a while ago
+    bool at_set_up =
+        play.state == PlayState::allocating || now_ - play.started < 0.05; // of now, not of a while ago
     double as_of = at_set_up ? now_ : now_ - note_delay_;
     if (kind == NoteKind::rung) {
       step_to(index, static_cast<int>(value));
@@ -254,8 +269,8 @@
       for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
         if (!open_to(s, play)) continue;
         double rate = rate_of(terms.product, rung);
-        if (!passes(servers_[at(s)].link, rate)) continue;
-        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], rate)) continue;
+        if (!passes(servers_[at(s)].link, rate, rung)) continue;
+        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], rate, rung)) continue;
         double room = servers_[at(s)].link.capacity - demand_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
@@ -319,10 +334,10 @@
   }
 
   // ---- The mechanism: demand on a link and the test.
-  bool passes(const Link &link, double rate) {
+  bool passes(const Link &link, double rate, int rung) {
     gather(link);
     groups_.push_back({1, rate, kVariation});
-    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance);
+    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance) * strictness_[at(rung)];
   }
 
   // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
@@ -534,6 +549,7 @@
   std::minstd_rand chance_;
   double now_, opened_;
   std::vector<double> rates_, rung_worth_, factors_, floors_, tops_, seats_, kind_places_, targets_, limits_;
+  std::vector<double> strictness_; // by rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
