--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -119,21 +119,10 @@
       std::string name = "product." + std::to_string(p) + ".";
       targets_.push_back(number(name + "first_frame_target", 1));
       limits_.push_back(number(name + "time_limit", 4));
+      importance_.push_back(number(name + "importance", 1));
       safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
     }
-    // A rung that earns less for its rate is held to a tighter tolerance.
-    double best_earning = 0;
-    std::vector<double> earning;
-    for (int r = 0; r < rungs(); ++r) {
-      double more = rung_worth_[at(r)] - (r > 0 ? rung_worth_[at(r - 1)] : 0);
-      earning.push_back(more / (rates_[at(r)] - (r > 0 ? rates_[at(r - 1)] : 0)));
-      best_earning = std::max(best_earning, earning.back());
-    }
-    for (int r = 0; r < rungs(); ++r) {
-      for (int above = r + 1; above < rungs(); ++above)
-        earning[at(r)] = std::max(earning[at(r)], earning[at(above)]);
-      strictness_.push_back(std::pow(best_earning / earning[at(r)], kThrift));
-    }
+    weigh_rungs();
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
     for (Link &uplink : racks_) open_link(uplink, number("rack_uplink", 0));
     if (text("list_mode") == "on_request") answers_.follow_list();
@@ -268,9 +257,9 @@
     for (int rung = top; rung >= low && best < 0; --rung) {
       for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
         if (!open_to(s, play)) continue;
-        double rate = rate_of(terms.product, rung);
-        if (!passes(servers_[at(s)].link, rate, rung)) continue;
-        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], rate, rung)) continue;
+        int group = terms.product * rungs() + rung;
+        if (!passes(servers_[at(s)].link, group)) continue;
+        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], group)) continue;
         double room = servers_[at(s)].link.capacity - demand_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
@@ -334,10 +323,10 @@
   }
 
   // ---- The mechanism: demand on a link and the test.
-  bool passes(const Link &link, double rate, int rung) {
+  bool passes(const Link &link, int group) {
     gather(link);
-    groups_.push_back({1, rate, kVariation});
-    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance) * strictness_[at(rung)];
+    groups_.push_back({1, group_rate(group), kVariation});
+    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance) * strictness_[at(group)];
   }
 
   // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
@@ -364,6 +353,21 @@
     if (told > 0) groups_.push_back({told / middle, middle, kVariation});
   }
 
+  // A rung that earns less for its rate than the best of any product is held to a tighter tolerance.
+  void weigh_rungs() {
+    for (int g = 0; g < products_ * rungs(); ++g) {
+      int r = g % rungs();
+      double more = rung_worth_[at(r)] - (r > 0 ? rung_worth_[at(r - 1)] : 0);
+      earning_.push_back(more * importance_[at(g / rungs())] /
+                         (group_rate(g) - (r > 0 ? group_rate(g - 1) : 0)));
+    }
+    for (int g = products_ * rungs() - 1; g >= 0; --g) { // a low rung opens the way to those above it
+      if (g % rungs() < rungs() - 1) earning_[at(g)] = std::max(earning_[at(g)], earning_[at(g + 1)]);
+    }
+    double best = *std::max_element(earning_.begin(), earning_.end());
+    for (double e : earning_) strictness_.push_back(std::pow(best / e, kThrift));
+  }
+
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
@@ -549,7 +553,8 @@
   std::minstd_rand chance_;
   double now_, opened_;
   std::vector<double> rates_, rung_worth_, factors_, floors_, tops_, seats_, kind_places_, targets_, limits_;
-  std::vector<double> strictness_; // by rung, on the logarithm of the tolerance
+  std::vector<double> importance_, earning_;
+  std::vector<double> strictness_; // by product and rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
