--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -52,6 +52,13 @@
 constexpr double kColdSafety = 0.8;  // part of a cold server's budget that fronts use
 constexpr double kSetUpGuess = 0.15; // usual set-up time before any was seen
 constexpr double kLeastSetUp = 0.1;  // no allocation starts with less time left than this
+constexpr double kReviewEvery = 0.5; // plays under way are looked at so often
+constexpr double kFreshNews = 5;     // and only where the news of a link is no older than this
+constexpr double kShortFrom = 1.1;   // demand over capacity from which plays are stepped down
+constexpr double kTurn = 2;          // a front's turn to step up on a server
+constexpr double kStepRest = 5;      // a play is left at its rung so long after a step
+constexpr double kShortFades = 8;    // the memory of a short link fades over so long
+constexpr double kRaise = 1.5;       // how much tighter the test is for a step up
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -62,7 +69,7 @@
   int server = -1;
   int rung = 0;
   int allocations = 0;
-  double target_at = 0, limit_at = 0, started = 0;
+  double target_at = 0, limit_at = 0, started = 0, stepped_at = -1e9;
   bool may_have_run = false;
   std::array<int, 8> tried{}; // servers already allocated to
 };
@@ -75,10 +82,11 @@
 
 struct Link { // a server's link or a rack's uplink
   double capacity = 0;
-  double told = 0;             // asked over given, when last told
-  double told_at = -1e9;       // the moment the told use is of
-  std::vector<int> own;        // this front's plays, by product and rung
-  std::vector<Change> changes; // ours since told_at
+  double told = 0;                      // asked over given, when last told
+  double told_at = -1e9;                // the moment the told use is of
+  double short_of = 0, short_at = -1e9; // the last told use over one, and when
+  std::vector<int> own;                 // this front's plays, by product and rung
+  std::vector<Change> changes;          // ours since told_at
 };
 
 struct Server {
@@ -86,7 +94,7 @@
   bool listed = false, known = false;
   Link link;
   int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
-  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9;
+  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -1e9;
   int strikes = 0;
 };
 
@@ -126,6 +134,7 @@
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
     for (Link &uplink : racks_) open_link(uplink, number("rack_uplink", 0));
     if (text("list_mode") == "on_request") answers_.follow_list();
+    answers_.set_timer(kReviewEvery, kReview);
   }
 
   void clock(double now) override { now_ = now; }
@@ -235,17 +244,22 @@
 
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
+    if (label != kReview) return;
+    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
+      if (servers_[at(s)].plays > 0) review(s);
+    }
+    answers_.set_timer(kReviewEvery, kReview);
   }
 
  private:
-  enum Label { kAskList = 1 };
+  enum Label { kAskList = 1, kReview };
 
   // The ordinary path: the highest rung that passes, on the roomiest holder, or an answer at once.
   void place(int index) {
     Play &play = plays_[at(index)];
     const PlayTerms &terms = play.terms;
     int low = lowest(terms.product);
-    int top = std::min({terms.best_rung, static_cast<int>(tops_[at(terms.product)]), rungs() - 1});
+    int top = highest(terms);
     bool first = play.allocations == 0;
     if (!first && play.may_have_run && !safe_[at(terms.product)]) return give_up(index);
     if (play.allocations >= allocations_allowed() || (!first && !may_go_further())) return give_up(index);
@@ -258,8 +272,8 @@
       for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
         if (!open_to(s, play)) continue;
         int group = terms.product * rungs() + rung;
-        if (!passes(servers_[at(s)].link, group)) continue;
-        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], group)) continue;
+        if (!passes(servers_[at(s)].link, group, group_rate(group))) continue;
+        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], group, group_rate(group))) continue;
         double room = servers_[at(s)].link.capacity - demand_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
@@ -280,6 +294,62 @@
     if (play.allocations == 1) probe_stalest();
   }
 
+  // Plays under way: where a link runs short this front steps down its part of the excess; where room lasts
+  // it steps one play up, fronts taking turns on a server so that not all answer the same news.
+  void review(int s) {
+    Server &server = servers_[at(s)];
+    for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
+      if (now_ - link->told_at > kFreshNews) continue;
+      double own = gather(*link, false);
+      double mine = (demand_ - link->capacity * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
+      while (mine > 0) {
+        int play = pick_step(s, -1);
+        if (play < 0) break;
+        mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
+        step(play, -1);
+      }
+    }
+    auto beat = static_cast<std::uint64_t>(now_ / kTurn);
+    bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
+                static_cast<std::uint64_t>(number("front_index", 0));
+    if (!turn || now_ - server.link.told_at > kFreshNews || now_ - server.raised_at < kTurn) return;
+    int index = pick_step(s, 1);
+    if (index < 0) return;
+    const Play &play =
+        plays_[at(index)]; // a step costs the same however far it goes: take the highest that passes
+    for (int rung = highest(play.terms); rung > play.rung; --rung) {
+      int group = group_of(play) + rung - play.rung;
+      double more = group_rate(group) - group_rate(group_of(play));
+      if (!passes(server.link, group, more, kRaise)) continue;
+      if (uplinks_told_ && !passes(racks_[at(server.rack)], group, more, kRaise)) continue;
+      server.raised_at = now_;
+      return step(index, rung - play.rung);
+    }
+  }
+
+  // The play of ours on this server whose step earns most for its rate (up) or loses least (down).
+  int pick_step(int s, int by) const {
+    int best = -1;
+    double best_earning = 0;
+    for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
+      const Play &play = plays_[at(p)];
+      if (play.state != PlayState::playing || play.server != s || now_ - play.stepped_at < kStepRest)
+        continue;
+      int rung = play.rung + by, product = play.terms.product;
+      if (rung < lowest(product) || rung > highest(play.terms)) continue;
+      double earning = earning_[at(group_of(play) + (by > 0 ? 1 : 0))] * by;
+      if (best < 0 || earning > best_earning) best = p, best_earning = earning;
+    }
+    return best;
+  }
+
+  void step(int index, int by) {
+    Play &play = plays_[at(index)];
+    play.stepped_at = now_;
+    step_to(index, play.rung + by);
+    answers_.set_rung(index, play.rung);
+  }
+
   // The final answer when nothing more is tried: a decline where that is safe to say, else a failure.
   void give_up(int index) {
     Play &play = plays_[at(index)];
@@ -323,20 +393,24 @@
   }
 
   // ---- The mechanism: demand on a link and the test.
-  bool passes(const Link &link, int group) {
+  bool passes(const Link &link, int group, double rate, double strictness = 1) {
     gather(link);
-    groups_.push_back({1, group_rate(group), kVariation});
-    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance) * strictness_[at(group)];
+    groups_.push_back({1, rate, kVariation});
+    return log_overrun_bound(groups_, link.capacity) <=
+           std::log(kTolerance) * strictness_[at(group)] * strictness;
   }
 
   // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
   // own.
-  void gather(const Link &link) {
+  double gather(const Link &link, bool cautious = true) {
     groups_.clear();
     double own = 0, since = 0;
     for (int g = 0; g < static_cast<int>(link.own.size()); ++g) own += link.own[at(g)] * group_rate(g);
     bool news = now_ - link.told_at < kNewsLife;
-    double told = news ? link.told * link.capacity : own * fronts_;
+    // A link that ran short lately may do so again (another program on and off): the memory fades.
+    double fading = cautious ? link.short_of * std::exp((link.short_at - now_) / kShortFades) : 0;
+    double told =
+        news ? std::max(link.told, fading) * link.capacity : std::max(own * fronts_, fading * link.capacity);
     if (news) {
       for (const Change &change : link.changes) {
         if (change.plays > 0) {
@@ -351,6 +425,7 @@
     demand_ = told + since;
     double middle = group_rate(rungs() / 2);
     if (told > 0) groups_.push_back({told / middle, middle, kVariation});
+    return own;
   }
 
   // A rung that earns less for its rate than the best of any product is held to a tighter tolerance.
@@ -371,6 +446,7 @@
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
+    if (asked > 1) link.short_of = asked, link.short_at = as_of;
     link.told_at = as_of;
     std::erase_if(link.changes, [&](const Change &c) { return c.at <= as_of; });
   }
@@ -388,7 +464,7 @@
   }
 
   void tally(const Play &play, int plays) {
-    int group = play.terms.product * rungs() + play.rung;
+    int group = group_of(play);
     Server &server = servers_[at(play.server)];
     for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
       link->own[at(group)] += plays;
@@ -497,6 +573,10 @@
 
   // ---- Small helpers.
   static std::size_t at(int i) { return static_cast<std::size_t>(i); }
+  int highest(const PlayTerms &terms) const {
+    return std::min({terms.best_rung, static_cast<int>(tops_[at(terms.product)]), rungs() - 1});
+  }
+  int group_of(const Play &play) const { return play.terms.product * rungs() + play.rung; }
   int rungs() const { return static_cast<int>(rates_.size()); }
   int lowest(int product) const { return static_cast<int>(floors_[at(product)]); }
   double rate_of(int product, int rung) const { return rates_[at(rung)] * factors_[at(product)]; }
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
