Links sized by a kind's places where weights say nothing; short notes hold over reports

Cause: boxes of two and three cores were held to have equal links; a report of a half-asked link, newer but blind to the uplink or to a slowed link, wiped out a note of short delivery.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -59,6 +59,7 @@
 constexpr double kStepRest = 5;      // a play is left at its rung so long after a step
 constexpr double kShortFades = 8;    // the memory of a short link fades over so long
 constexpr double kRaise = 1.5;       // how much tighter the test is for a step up
+constexpr double kShortHolds = 1.5;  // a note of short delivery holds so long, whatever reports say
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -82,11 +83,11 @@
 
 struct Link { // a server's link or a rack's uplink
   double capacity = 0;
-  double told = 0;                      // asked over given, when last told
-  double told_at = -1e9;                // the moment the told use is of
-  double short_of = 0, short_at = -1e9; // the last told use over one, and when
-  std::vector<int> own;                 // this front's plays, by product and rung
-  std::vector<Change> changes;          // ours since told_at
+  double told = 0;                                         // asked over given, when last told
+  double told_at = -1e9;                                   // the moment the told use is of
+  double short_of = 0, short_at = -1e9, lowered_at = -1e9; // the last told use over one, and when
+  std::vector<int> own;                                    // this front's plays, by product and rung
+  std::vector<Change> changes;                             // ours since told_at
 };
 
 struct Server {
@@ -159,9 +160,9 @@
       server.listed = entry.standing == Standing::active;
       if (!server.known) open_link(server.link, 0);
       server.known = true;
-      server.link.capacity = entry.weight * number("link_per_weight", 0);
       server.rack = entry.cell % static_cast<int>(racks_.size());
     }
+    size_links();
   }
 
   void play_asked(int index, const PlayTerms &terms) override {
@@ -226,7 +227,8 @@
     } else if (kind == NoteKind::uplink_asked) {
       hear(racks_[at(server.rack)], value, as_of);
     } else if (value < 0.98) { // short of something: the link is at least so much overrun
-      hear(server.link, std::max(server.link.told, 1 / std::max(value, 0.05)), now_ - note_delay_);
+      server.link.short_of = 1 / std::max(value, 0.05);
+      server.link.short_at = now_;
     }
   }
 
@@ -299,7 +301,9 @@
   void review(int s) {
     Server &server = servers_[at(s)];
     for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
-      if (now_ - link->told_at > kFreshNews) continue;
+      if (now_ - std::max(link->told_at, link->short_at) > kFreshNews) continue;
+      if (now_ - link->lowered_at < note_delay_ + kShortHolds)
+        continue; // until the news shows the last steps
       double own = gather(*link, false);
       double mine = (demand_ - link->capacity * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
       while (mine > 0) {
@@ -307,6 +311,7 @@
         if (play < 0) break;
         mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
         step(play, -1);
+        link->lowered_at = now_;
       }
     }
     auto beat = static_cast<std::uint64_t>(now_ / kTurn);
@@ -408,7 +413,8 @@
     for (int g = 0; g < static_cast<int>(link.own.size()); ++g) own += link.own[at(g)] * group_rate(g);
     bool news = now_ - link.told_at < kNewsLife;
     // A link that ran short lately may do so again (another program on and off): the memory fades.
-    double fading = cautious ? link.short_of * std::exp((link.short_at - now_) / kShortFades) : 0;
+    double fading = cautious || now_ - link.short_at < kShortHolds ? link.short_of : 0;
+    if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
     double told =
         news ? std::max(link.told, fading) * link.capacity : std::max(own * fronts_, fading * link.capacity);
     if (news) {
@@ -443,6 +449,25 @@
     for (double e : earning_) strictness_.push_back(std::pow(best / e, kThrift));
   }
 
+  // Where weights say nothing, a kind with more places is held to have a link larger in proportion.
+  void size_links() {
+    bool by_places = text("weight_meaning") == "none";
+    double places = 0, listed = 0;
+    for (const Server &server : servers_) {
+      if (server.listed) places += places_of(server), ++listed;
+    }
+    for (Server &server : servers_) {
+      double part = by_places && places > 0 ? places_of(server) * listed / places : 1;
+      if (server.known) server.link.capacity = server.entry.weight * part * number("link_per_weight", 0);
+    }
+  }
+
+  double places_of(const Server &server) const {
+    return server.entry.kind >= 0 && at(server.entry.kind) < kind_places_.size()
+               ? kind_places_[at(server.entry.kind)]
+               : 0;
+  }
+
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
@@ -491,12 +516,9 @@
   bool cold_allows(const Server &server) const {
     double since = std::max(server.cold_since, handed_over_ ? -1e9 : opened_);
     if (now_ - since >= warm_up_) return true;
-    double places = server.entry.kind >= 0 && at(server.entry.kind) < kind_places_.size()
-                        ? kind_places_[at(server.entry.kind)]
-                        : 0;
     double span = number("fall_span", 1);
-    double budget =
-        number("fall_multiple", 1) * places / warm_up_ * number("cold_share", 0) * span * kColdSafety;
+    double budget = number("fall_multiple", 1) * places_of(server) / warm_up_ * number("cold_share", 0) *
+                    span * kColdSafety;
     double quiet = now_ - server.last_sent;
     if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
     if (budget < 1) return false;
