--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -60,6 +60,9 @@
 constexpr double kShortFades = 8;    // the memory of a short link fades over so long
 constexpr double kRaise = 1.5;       // how much tighter the test is for a step up
 constexpr double kShortHolds = 1.5;  // a note of short delivery holds so long, whatever reports say
+constexpr double kAlike = 0.12;      // shares delivered in a rack that differ by less have one cause
+constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
+constexpr double kRegain = 0.02;     // and how much of it is won back a second
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -83,11 +86,13 @@
 
 struct Link { // a server's link or a rack's uplink
   double capacity = 0;
-  double told = 0;                                         // asked over given, when last told
-  double told_at = -1e9;                                   // the moment the told use is of
-  double short_of = 0, short_at = -1e9, lowered_at = -1e9; // the last told use over one, and when
-  std::vector<int> own;                                    // this front's plays, by product and rung
-  std::vector<Change> changes;                             // ours since told_at
+  double told = 0;       // asked over given, when last told
+  double told_at = -1e9; // the moment the told use is of
+  double short_of = 0, short_at = -1e9, lowered_at = -1e9;
+  double slow_demand = 0;      // as of about when notes are of
+  bool is_short = false;       // the last told use over one, and when
+  std::vector<int> own;        // this front's plays, by product and rung
+  std::vector<Change> changes; // ours since told_at
 };
 
 struct Server {
@@ -96,6 +101,7 @@
   Link link;
   int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
   double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -1e9;
+  double share = 1, share_at = -1e9; // delivered, when last told
   int strikes = 0;
 };
 
@@ -133,7 +139,7 @@
     }
     weigh_rungs();
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
-    for (Link &uplink : racks_) open_link(uplink, number("rack_uplink", 0));
+    for (Link &uplink : racks_) open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
     if (text("list_mode") == "on_request") answers_.follow_list();
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -226,7 +232,8 @@
       hear(server.link, value, as_of);
     } else if (kind == NoteKind::uplink_asked) {
       hear(racks_[at(server.rack)], value, as_of);
-    } else if (value < 0.98) { // short of something: the link is at least so much overrun
+    } else if (server.share = value, server.share_at = now_;
+               value < 0.98) { // short of something: the link is at least so much overrun
       server.link.short_of = 1 / std::max(value, 0.05);
       server.link.short_at = now_;
     }
@@ -247,8 +254,12 @@
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
     if (label != kReview) return;
-    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
-      if (servers_[at(s)].plays > 0) review(s);
+    if (!uplinks_told_) judge_racks();
+    for (Link &rack : racks_) lower(rack);
+    for (Server &server : servers_) {
+      if (server.plays == 0) continue;
+      lower(server.link);
+      raise(server);
     }
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -274,9 +285,8 @@
       for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
         if (!open_to(s, play)) continue;
         int group = terms.product * rungs() + rung;
-        if (!passes(servers_[at(s)].link, group, group_rate(group))) continue;
-        if (uplinks_told_ && !passes(racks_[at(servers_[at(s)].rack)], group, group_rate(group))) continue;
-        double room = servers_[at(s)].link.capacity - demand_;
+        if (!fits(servers_[at(s)], group, group_rate(group))) continue;
+        double room = room_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
         if (roomier) best = s, best_rung = rung, best_room = room;
@@ -296,50 +306,77 @@
     if (play.allocations == 1) probe_stalest();
   }
 
-  // Plays under way: where a link runs short this front steps down its part of the excess; where room lasts
-  // it steps one play up, fronts taking turns on a server so that not all answer the same news.
-  void review(int s) {
-    Server &server = servers_[at(s)];
-    for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
-      if (now_ - std::max(link->told_at, link->short_at) > kFreshNews) continue;
-      if (now_ - link->lowered_at < note_delay_ + kShortHolds)
-        continue; // until the news shows the last steps
-      double own = gather(*link, false);
-      double mine = (demand_ - link->capacity * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
-      while (mine > 0) {
-        int play = pick_step(s, -1);
-        if (play < 0) break;
-        mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
-        step(play, -1);
-        link->lowered_at = now_;
-      }
+  // Plays under way. Where a link runs short this front steps down its part of the excess.
+  void lower(Link &link) {
+    if (now_ - std::max(link.told_at, link.short_at) > kFreshNews) return;
+    if (now_ - link.lowered_at < note_delay_ + kShortHolds) return; // until the news shows the last steps
+    double own = gather(link, false);
+    double mine = (demand_ - link.capacity * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
+    while (mine > 0) {
+      int play = pick_step(link, -1);
+      if (play < 0) return;
+      mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
+      step(play, -1);
+      link.lowered_at = now_;
     }
+  }
+
+  // Where room lasts, one play steps up; fronts take turns on a server so that not all answer the same news.
+  void raise(Server &server) {
     auto beat = static_cast<std::uint64_t>(now_ / kTurn);
     bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
                 static_cast<std::uint64_t>(number("front_index", 0));
     if (!turn || now_ - server.link.told_at > kFreshNews || now_ - server.raised_at < kTurn) return;
-    int index = pick_step(s, 1);
+    int index = pick_step(server.link, 1);
     if (index < 0) return;
-    const Play &play =
-        plays_[at(index)]; // a step costs the same however far it goes: take the highest that passes
+    const Play &play = plays_[at(index)]; // a step costs the same however far it goes
     for (int rung = highest(play.terms); rung > play.rung; --rung) {
       int group = group_of(play) + rung - play.rung;
-      double more = group_rate(group) - group_rate(group_of(play));
-      if (!passes(server.link, group, more, kRaise)) continue;
-      if (uplinks_told_ && !passes(racks_[at(server.rack)], group, more, kRaise)) continue;
+      if (!fits(server, group, group_rate(group) - group_rate(group_of(play)), kRaise)) continue;
       server.raised_at = now_;
       return step(index, rung - play.rung);
     }
   }
 
-  // The play of ours on this server whose step earns most for its rate (up) or loses least (down).
-  int pick_step(int s, int by) const {
+  // Uplinks that nothing tells of: demand is what the rack's links carry. When most of a rack's servers with
+  // plays of ours deliver short by the same share, the uplink is what is short, and so much it gives.
+  void judge_racks() {
+    for (int r = 0; r < static_cast<int>(racks_.size()); ++r) {
+      Link &rack = racks_[at(r)];
+      double demand = 0, links = 0, low = 1, high = 0;
+      int with_plays = 0, alike = 0;
+      for (const Server &server : servers_) {
+        if (server.rack != r || !server.known) continue;
+        gather(server.link, false, false);
+        demand += std::min(demand_, server.link.capacity);
+        links += server.link.capacity;
+        if (server.plays > 0) ++with_plays;
+        if (server.plays == 0 || now_ - server.share_at > kShortHolds || server.share >= 0.98) continue;
+        ++alike;
+        low = std::min(low, server.share), high = std::max(high, server.share);
+      }
+      rack.slow_demand += (demand - rack.slow_demand) * std::min(1.0, kReviewEvery / note_delay_);
+      rack.capacity =
+          std::min(links, rack.capacity > 0 ? rack.capacity * (1 + kRegain * kReviewEvery) : links);
+      rack.is_short = alike >= 2 && alike * 3 >= with_plays * 2 && high - low < kAlike;
+      if (rack.is_short) {
+        double gives = rack.slow_demand * (low + high) / 2;
+        rack.capacity =
+            rack.capacity < links ? rack.capacity + kLearn * (gives - rack.capacity) : std::min(links, gives);
+      }
+      hear(rack, demand / std::max(rack.capacity, 1.0), now_);
+    }
+  }
+
+  // The play of ours on this link whose step earns most for its rate (up) or loses least (down).
+  int pick_step(const Link &link, int by) const {
     int best = -1;
     double best_earning = 0;
     for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
       const Play &play = plays_[at(p)];
-      if (play.state != PlayState::playing || play.server != s || now_ - play.stepped_at < kStepRest)
-        continue;
+      if (play.state != PlayState::playing || now_ - play.stepped_at < kStepRest) continue;
+      const Server &server = servers_[at(play.server)];
+      if (&server.link != &link && &racks_[at(server.rack)] != &link) continue;
       int rung = play.rung + by, product = play.terms.product;
       if (rung < lowest(product) || rung > highest(play.terms)) continue;
       double earning = earning_[at(group_of(play) + (by > 0 ? 1 : 0))] * by;
@@ -398,7 +435,14 @@
   }
 
   // ---- The mechanism: demand on a link and the test.
+  bool fits(const Server &server, int group, double rate, double strictness = 1) {
+    if (!passes(server.link, group, rate, strictness)) return false;
+    room_ = server.link.capacity - demand_;
+    return passes(racks_[at(server.rack)], group, rate, strictness);
+  }
+
   bool passes(const Link &link, int group, double rate, double strictness = 1) {
+    if (link.capacity <= 0) return true; // nothing known of it
     gather(link);
     groups_.push_back({1, rate, kVariation});
     return log_overrun_bound(groups_, link.capacity) <=
@@ -407,13 +451,13 @@
 
   // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
   // own.
-  double gather(const Link &link, bool cautious = true) {
+  double gather(const Link &link, bool cautious = true, bool notes = true) {
     groups_.clear();
     double own = 0, since = 0;
     for (int g = 0; g < static_cast<int>(link.own.size()); ++g) own += link.own[at(g)] * group_rate(g);
     bool news = now_ - link.told_at < kNewsLife;
     // A link that ran short lately may do so again (another program on and off): the memory fades.
-    double fading = cautious || now_ - link.short_at < kShortHolds ? link.short_of : 0;
+    double fading = notes && (cautious || now_ - link.short_at < kShortHolds) ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
     double told =
         news ? std::max(link.told, fading) * link.capacity : std::max(own * fronts_, fading * link.capacity);
@@ -667,7 +711,7 @@
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0;
+  double demand_ = 0, room_ = 0;
 };
 
 } // namespace
