--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -463,9 +463,9 @@
         news ? std::max(link.told, fading) * link.capacity : std::max(own * fronts_, fading * link.capacity);
     if (news) {
       for (const Change &change : link.changes) {
-        if (change.plays > 0) {
-          groups_.push_back({static_cast<double>(change.plays), group_rate(change.group), kVariation});
-          since += change.plays * group_rate(change.group);
+        if (change.plays > 0) { // the other fronts heard the same news and add as we do
+          groups_.push_back({change.plays * fronts_, group_rate(change.group), kVariation});
+          since += change.plays * fronts_ * group_rate(change.group);
         } else {
           told += change.plays * group_rate(change.group);
         }
