On told uplinks own set-ups since the news count for every front

Cause: all fronts hear of an uplink at the same moment and then add to it alike until the next news.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -89,8 +89,10 @@
   double told = 0;       // asked over given, when last told
   double told_at = -1e9; // the moment the told use is of
   double short_of = 0, short_at = -1e9, lowered_at = -1e9;
-  double slow_demand = 0;      // as of about when notes are of
-  bool is_short = false;       // the last told use over one, and when
+  double slow_demand = 0; // as of about when notes are of
+  bool is_short = false;
+  double adders = 1; // fronts that add alike to it after the same news: all, on an uplink that is told // the
+                     // last told use over one, and when
   std::vector<int> own;        // this front's plays, by product and rung
   std::vector<Change> changes; // ours since told_at
 };
@@ -139,7 +141,10 @@
     }
     weigh_rungs();
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
-    for (Link &uplink : racks_) open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
+    for (Link &uplink : racks_) {
+      open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
+      if (uplinks_told_) uplink.adders = fronts_;
+    }
     if (text("list_mode") == "on_request") answers_.follow_list();
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -463,9 +468,9 @@
         news ? std::max(link.told, fading) * link.capacity : std::max(own * fronts_, fading * link.capacity);
     if (news) {
       for (const Change &change : link.changes) {
-        if (change.plays > 0) { // the other fronts heard the same news and add as we do
-          groups_.push_back({change.plays * fronts_, group_rate(change.group), kVariation});
-          since += change.plays * fronts_ * group_rate(change.group);
+        if (change.plays > 0) {
+          groups_.push_back({change.plays * link.adders, group_rate(change.group), kVariation});
+          since += change.plays * link.adders * group_rate(change.group);
         } else {
           told += change.plays * group_rate(change.group);
         }
