--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -63,6 +63,7 @@
 constexpr double kAlike = 0.12;      // shares delivered in a rack that differ by less have one cause
 constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
+constexpr int kRaises = 3;           // steps up at most in one turn
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -332,14 +333,17 @@
     bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
                 static_cast<std::uint64_t>(number("front_index", 0));
     if (!turn || now_ - server.link.told_at > kFreshNews || now_ - server.raised_at < kTurn) return;
-    int index = pick_step(server.link, 1);
-    if (index < 0) return;
-    const Play &play = plays_[at(index)]; // a step costs the same however far it goes
-    for (int rung = highest(play.terms); rung > play.rung; --rung) {
-      int group = group_of(play) + rung - play.rung;
-      if (!fits(server, group, group_rate(group) - group_rate(group_of(play)), kRaise)) continue;
+    for (int raised = 0; raised < kRaises; ++raised) {
+      int index = pick_step(server.link, 1), low = index < 0 ? 0 : plays_[at(index)].rung;
+      if (index < 0) return;
+      int rung = highest(plays_[at(index)].terms); // a step costs the same however far it goes
+      int from = group_of(plays_[at(index)]);
+      while (rung > low &&
+             !fits(server, from + rung - low, group_rate(from + rung - low) - group_rate(from), kRaise))
+        --rung;
+      if (rung == low) return;
       server.raised_at = now_;
-      return step(index, rung - play.rung);
+      step(index, rung - low);
     }
   }
 
