--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -64,7 +64,6 @@
 constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
 constexpr int kRaises = 3;           // steps up at most in one turn
-constexpr double kStepPays = 20;       // a step must earn its cost back within so long
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -299,7 +298,7 @@
         if (roomier) best = s, best_rung = rung, best_room = room;
       }
     }
-    if (best < 0 && !make_room(play, best, best_rung)) return give_up(index);
+    if (best < 0) return give_up(index);
 
     if (!first) further_at_.push_back(now_);
     play.server = best;
@@ -313,31 +312,6 @@
     if (play.allocations == 1) probe_stalest();
   }
 
-  // No rung passes: a play of ours that earns less by its upper rungs than the new one would by a low rung may
-  // step down and so let it pass the same test. Holders are those that place() may send to.
-  bool make_room(const Play &play, int &server, int &rung) {
-    int low = lowest(play.terms.product), stepped = -1, to = 0;
-    double most = 0;
-    for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
-      const Play &other = plays_[at(p)];
-      if (other.state != PlayState::playing || now_ - other.stepped_at < kStepRest) continue;
-      if (other.rung <= lowest(other.terms.product) || !open_to(other.server, play)) continue;
-      double worth = importance_[at(other.terms.product)];
-      for (int t = other.rung - 1; t >= lowest(other.terms.product); --t) {
-        double freed = group_rate(group_of(other)) - group_rate(group_of(other) - other.rung + t);
-        double loss = worth * (rung_worth_[at(other.rung)] - rung_worth_[at(t)] + number("rung_step_cost", 0) / kStepPays);
-        for (int r = std::min(low + 1, highest(play.terms)); r >= low; --r) {
-          int group = play.terms.product * rungs() + r;
-          double gain = importance_[at(play.terms.product)] * rung_worth_[at(r)] - loss;
-          if (gain <= most || !fits(servers_[at(other.server)], group, group_rate(group) - freed)) continue;
-          most = gain, stepped = p, to = t, server = other.server, rung = r;
-        }
-      }
-    }
-    if (stepped >= 0) step(stepped, to - plays_[at(stepped)].rung);
-    return stepped >= 0;
-  }
-
   // Plays under way. Where a link runs short this front steps down its part of the excess.
   void lower(Link &link) {
     if (now_ - std::max(link.told_at, link.short_at) > kFreshNews) return;
@@ -479,7 +453,7 @@
   bool passes(const Link &link, int group, double rate, double strictness = 1) {
     if (link.capacity <= 0) return true; // nothing known of it
     gather(link);
-    if (rate > 0) groups_.push_back({1, rate, kVariation});
+    groups_.push_back({1, rate, kVariation});
     return log_overrun_bound(groups_, link.capacity) <=
            std::log(kTolerance) * strictness_[at(group)] * strictness;
   }
