A restarted front is careful only until a server is seen to carry much

Cause: without memory every server counted as cold, and fronts took strict turns. Told from a full link by the notes: asked was low, and only the restarted front declined. Change: strict turns only for servers known to be cold; a server whose told use this front's own plays don't explain is warm.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -49,7 +49,7 @@
 constexpr double kReportAge = 0.4;   // how far behind a load report is held to be
 constexpr double kFirstAvoid = 1;    // after one failure a server is left alone so long, doubling
 constexpr double kLongestAvoid = 8;  // up to this
-constexpr double kColdSafety = 0.8;  // part of a cold server's budget that fronts use
+constexpr double kColdSafety = 0.9;  // part of a cold server's budget that fronts use
 constexpr double kSetUpGuess = 0.15; // usual set-up time before any was seen
 constexpr double kLeastSetUp = 0.1;  // no allocation starts with less time left than this
 constexpr double kReviewEvery = 0.5; // plays under way are looked at so often
@@ -64,6 +64,7 @@
 constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
 constexpr int kRaises = 3;           // steps up at most in one turn
+constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -100,7 +101,7 @@
 
 struct Server {
   ServerEntry entry;
-  bool listed = false, known = false;
+  bool listed = false, known = false, seen_warm = false;
   Link link;
   int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
   double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -1e9;
@@ -236,6 +237,7 @@
       step_to(index, static_cast<int>(value));
     } else if (kind == NoteKind::link_asked) {
       hear(server.link, value, as_of);
+      see_warm(server, value);
     } else if (kind == NoteKind::uplink_asked) {
       hear(racks_[at(server.rack)], value, as_of);
     } else if (server.share = value, server.share_at = now_;
@@ -532,6 +534,7 @@
   void read_report(int index, const LoadReport &report, double as_of) {
     if (index < 0) return;
     Server &server = servers_[at(index)];
+    see_warm(server, report.link ? *report.link : report.link_share.value_or(0));
     if (report.link) {
       hear(server.link, *report.link, as_of);
     } else if (report.link_share) { // capped: at one it only says at least
@@ -563,18 +566,27 @@
     return cold_allows(server);
   }
 
+  // Use that this front's own plays don't explain takes a cold server's pace most of its warm-up to build.
+  void see_warm(Server &server, double asked) {
+    double own = gather(server.link);
+    if (asked * server.link.capacity - own > kWarmProof * server.link.capacity) server.seen_warm = true;
+  }
+
   // Rule: a cold server is never pushed over by all fronts together. A front keeps to its part of the least
   // budget (the share a server starts with), evenly spaced; where that is under one set-up a span, fronts
   // take turns by the clock, with a span's pause between turns.
   bool cold_allows(const Server &server) const {
-    double since = std::max(server.cold_since, handed_over_ ? -1e9 : opened_);
-    if (now_ - since >= warm_up_) return true;
+    bool known_cold = now_ - server.cold_since < warm_up_;
+    // A front that came back has no memory: any server may be cold to it until it is seen to carry much.
+    bool may_be_cold = !handed_over_ && !server.seen_warm && now_ - opened_ < warm_up_;
+    if (!known_cold && !may_be_cold) return true;
     double span = number("fall_span", 1);
     double budget = number("fall_multiple", 1) * places_of(server) / warm_up_ * number("cold_share", 0) *
                     span * kColdSafety;
     double quiet = now_ - server.last_sent;
     if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
     if (budget < 1) return false;
+    if (!known_cold) return quiet >= span * fronts_ / budget;
     int turns = static_cast<int>(std::ceil(fronts_ / std::floor(budget)));
     double beat = std::floor(now_ / (2 * span));
     bool ours = std::fmod(beat, turns) == static_cast<int>(number("front_index", 0)) % turns;
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -208,8 +208,13 @@
   auto restarted = make_front(plain_given(), 7, 100, heard); // nothing handed over: no memory
   restarted->clock(100);
   restarted->list_changed(ListKind::held, std::span(scene.entries));
-  for (int i = 0; i < 20; ++i) restarted->play_asked(i, Scene::terms(0));
-  CHECK(heard.count("allocate") == 1);
+  play = 0;
+  for (; play < 20; ++play) restarted->play_asked(play, Scene::terms(0));
+  CHECK(heard.count("allocate") == 3); // one a server
+  restarted->play_starts(0, 0, 0.1);
+  restarted->note_on_play(0, NoteKind::link_asked, 0.6); // others' plays fill it: it cannot have just started
+  for (; play < 25; ++play) restarted->play_asked(play, Scene::terms(0));
+  CHECK(heard.count("allocate") > 3);
 }
 
 TEST_CASE("further allocations stay in their budget in every window") {
