--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -207,7 +207,7 @@
   Heard heard;
   auto restarted = make_front(plain_given(), 7, 100, heard); // nothing handed over: no memory
   restarted->clock(100);
-  restarted->list_changed(ListKind::held, std::span(scene.entries));
+  restarted->list_changed(ListKind::held, Scene().entries);
   play = 0;
   for (; play < 20; ++play) restarted->play_asked(play, Scene::terms(0));
   CHECK(heard.count("allocate") == 3); // one a server
