Probes: half a probe for each play asked for, declined ones too

Cause: in overload few plays were set up, so few probes went and old news kept links shut; each probe has a price.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -65,6 +65,7 @@
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
 constexpr int kRaises = 3;           // steps up at most in one turn
 constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
+constexpr double kProbeShare = 0.5;       // probes a play taken
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -185,6 +186,7 @@
     note_taken();
     become(index, PlayState::asked);
     place(index);
+    probe_stalest();
   }
 
   void play_handed_over(int index, int server, const PlayTerms &terms) override {
@@ -311,7 +313,6 @@
     answers_.set_rung(index, best_rung);
     answers_.allocate(index, best, time_out(play));
     become(index, PlayState::allocating);
-    if (play.allocations == 1) probe_stalest();
   }
 
   // Plays under way. Where a link runs short this front steps down its part of the excess.
@@ -653,7 +654,7 @@
       if (!servers_[at(s)].listed) continue;
       if (stalest < 0 || servers_[at(s)].probed_at < servers_[at(stalest)].probed_at) stalest = s;
     }
-    if (stalest < 0) return;
+    if (stalest < 0 || chance() > kProbeShare) return;
     servers_[at(stalest)].probed_at = now_;
     answers_.probe(stalest);
   }
