--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -336,7 +336,9 @@
     auto beat = static_cast<std::uint64_t>(now_ / kTurn);
     bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
                 static_cast<std::uint64_t>(number("front_index", 0));
-    if (!turn || now_ - server.link.told_at > kFreshNews || now_ - server.raised_at < kTurn) return;
+    bool heard = server.link.told_at > 0; // before the first news, own plays stand for all fronts'
+    if (!turn || (heard && now_ - server.link.told_at > kFreshNews) || now_ - server.raised_at < kTurn)
+      return;
     for (int raised = 0; raised < kRaises; ++raised) {
       int index = pick_step(server.link, 1), low = index < 0 ? 0 : plays_[at(index)].rung;
       if (index < 0) return;
