--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -94,6 +94,7 @@
   double told_at = -1e9; // the moment the told use is of
   double short_of = 0, short_at = -1e9, lowered_at = -1e9;
   double slow_demand = 0; // as of about when notes are of
+  bool is_short = false;
   double adders = 1; // fronts that add alike to it after the same news: all, on an uplink that is told // the
                      // last told use over one, and when
   std::vector<int> own;        // this front's plays, by product and rung
@@ -264,7 +265,7 @@
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
     if (label != kReview) return;
-    judge_racks();
+    if (!uplinks_told_) judge_racks();
     for (Link &rack : racks_) lower(rack);
     for (Server &server : servers_) {
       if (server.plays == 0) continue;
@@ -369,19 +370,11 @@
         ++alike;
         low = std::min(low, server.share), high = std::max(high, server.share);
       }
-      bool is_short = alike >= 2 && alike * 3 >= with_plays * 2 && high - low < kAlike;
-      if (is_short) {
-        for (Server &server : servers_) {
-          if (server.rack == r && server.link.told <= 1)
-            server.link.short_at = -1e9; // the uplink's, not theirs
-        }
-        if (now_ - rack.told_at > kFreshNews) rack.short_of = 2 / (low + high), rack.short_at = now_;
-      }
-      if (uplinks_told_) continue;
       rack.slow_demand += (demand - rack.slow_demand) * std::min(1.0, kReviewEvery / note_delay_);
       rack.capacity =
           std::min(links, rack.capacity > 0 ? rack.capacity * (1 + kRegain * kReviewEvery) : links);
-      if (is_short) {
+      rack.is_short = alike >= 2 && alike * 3 >= with_plays * 2 && high - low < kAlike;
+      if (rack.is_short) {
         double gives = rack.slow_demand * (low + high) / 2;
         rack.capacity =
             rack.capacity < links ? rack.capacity + kLearn * (gives - rack.capacity) : std::min(links, gives);
