--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -66,7 +66,8 @@
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
 constexpr int kRaises = 3;           // steps up at most in one turn
 constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
-constexpr double kProbeShare = 0.5;  // probes a play taken
+constexpr double kProbeShare = 0.3;  // probes a play taken
+constexpr double kProbeRest = 3;     // between probes of one server
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -133,6 +134,7 @@
     fronts_ = std::max(1.0, number("fronts", 1));
     cells_ = std::max(1, static_cast<int>(number("cells", 1)));
     warm_up_ = number("warm_up", 0);
+    may_probe_ = text("load_comes_with") == "probe" && number("may_probe", 0) > 0;
     note_delay_ = number("note_delay", 1);
     uplinks_told_ = text("load_fields").find("uplink") != std::string::npos;
     products_ = static_cast<int>(number("products", 1));
@@ -336,9 +338,12 @@
     auto beat = static_cast<std::uint64_t>(now_ / kTurn);
     bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
                 static_cast<std::uint64_t>(number("front_index", 0));
-    bool heard = server.link.told_at > 0; // before the first news, own plays stand for all fronts'
-    if (!turn || (heard && now_ - server.link.told_at > kFreshNews) || now_ - server.raised_at < kTurn)
+    if (!turn || now_ - server.raised_at < kTurn) return;
+    if (server.link.told_at > 0 &&
+        now_ - server.link.told_at > kFreshNews) {       // before the first news own plays
+      if (pick_step(server.link, 1) >= 0) probe(server); // stand for all fronts'
       return;
+    }
     for (int raised = 0; raised < kRaises; ++raised) {
       int index = pick_step(server.link, 1), low = index < 0 ? 0 : plays_[at(index)].rung;
       if (index < 0) return;
@@ -651,15 +656,17 @@
 
   // Where load is told to probes only: one probe for each play taken, to the server heard of least lately.
   void probe_stalest() {
-    if (text("load_comes_with") != "probe" || number("may_probe", 0) == 0) return;
-    int stalest = -1;
-    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
-      if (!servers_[at(s)].listed) continue;
-      if (stalest < 0 || servers_[at(s)].probed_at < servers_[at(stalest)].probed_at) stalest = s;
+    Server *stalest = nullptr;
+    for (Server &server : servers_) {
+      if (server.listed && (!stalest || server.probed_at < stalest->probed_at)) stalest = &server;
     }
-    if (stalest < 0 || chance() > kProbeShare) return;
-    servers_[at(stalest)].probed_at = now_;
-    answers_.probe(stalest);
+    if (stalest && chance() < kProbeShare) probe(*stalest);
+  }
+
+  void probe(Server &server) {
+    if (!may_probe_ || now_ - server.probed_at < kProbeRest) return;
+    server.probed_at = now_;
+    answers_.probe(static_cast<int>(&server - servers_.data()));
   }
 
   // ---- Small helpers.
@@ -729,7 +736,7 @@
   std::vector<bool> safe_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
-  bool uplinks_told_ = false, handed_over_ = false;
+  bool uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
