Tidy: no look-up allocates, shared strikes are not heeded, settings are checked

A symptom that most servers share no longer shuts them all; probes turned away over a cap are no failure; plays of ours follow a server to another rack; mismatched settings are refused with a message.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -8,6 +8,8 @@
 #include <charconv>
 #include <cmath>
 #include <random>
+#include <stdexcept>
+#include <string_view>
 
 namespace snowshore {
 
@@ -42,15 +44,14 @@
 namespace {
 
 // ---- Values that are ours to tune; everything else comes from the settings or is observed.
-constexpr double kTolerance =
-    0.2; // of a link's overrunning (the paper's one percent is its start; see design.md)
-constexpr double kVariation = 0.25;  // variation coefficient of a play's rate
-constexpr double kThrift = 1.2;      // how much tighter the test is for a rung that earns less for its rate
-constexpr double kNewsLife = 10;     // a told use older than this no longer counts
-constexpr double kReportAge = 0.4;   // how far behind a load report is held to be
-constexpr double kFirstAvoid = 1;    // after one failure a server is left alone so long, doubling
-constexpr double kLongestAvoid = 8;  // up to this
-constexpr double kColdSafety = 0.9;  // part of a cold server's budget that fronts use
+constexpr double kTolerance = 0.2;  // of a link's overrunning; design.md says why not the paper's one percent
+constexpr double kVariation = 0.25; // variation coefficient of a play's rate
+constexpr double kThrift = 1.2;     // how much tighter the test is for a rung that earns less for its rate
+constexpr double kNewsLife = 10;    // a told use older than this no longer counts
+constexpr double kReportAge = 0.4;  // how far behind a load report is held to be
+constexpr double kFirstAvoid = 1;   // after one failure a server is left alone so long, doubling
+constexpr double kLongestAvoid = 8; // up to this
+constexpr double kColdSafety = 0.9; // part of a cold server's budget that fronts use
 constexpr double kSetUpGuess = 0.15; // usual set-up time before any was seen
 constexpr double kLeastSetUp = 0.1;  // no allocation starts with less time left than this
 constexpr double kReviewEvery = 0.5; // plays under way are looked at so often
@@ -91,13 +92,12 @@
 
 struct Link { // a server's link or a rack's uplink
   double capacity = 0;
-  double told = 0;       // asked over given, when last told
-  double told_at = -1e9; // the moment the told use is of
-  double short_of = 0, short_at = -1e9, lowered_at = -1e9;
-  double slow_demand = 0; // as of about when notes are of
-  bool is_short = false;
-  double adders = 1; // fronts that add alike to it after the same news: all, on an uplink that is told // the
-                     // last told use over one, and when
+  double told = 0;                      // asked over given, when last told
+  double told_at = -1e9;                // the moment the told use is of
+  double short_of = 0, short_at = -1e9; // the last told use over one, and when
+  double lowered_at = -1e9;             // plays of ours stepped down for it
+  double slow_demand = 0;               // of an untold uplink: demand as of about when notes are of
+  double adders = 1;           // fronts that add alike after the same news: all, on an uplink that is told
   std::vector<int> own;        // this front's plays, by product and rung
   std::vector<Change> changes; // ours since told_at
 };
@@ -136,7 +136,7 @@
     warm_up_ = number("warm_up", 0);
     may_probe_ = text("load_comes_with") == "probe" && number("may_probe", 0) > 0;
     note_delay_ = number("note_delay", 1);
-    uplinks_told_ = text("load_fields").find("uplink") != std::string::npos;
+    uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
     products_ = static_cast<int>(number("products", 1));
     for (int p = 0; p < products_; ++p) {
       std::string name = "product." + std::to_string(p) + ".";
@@ -145,7 +145,11 @@
       importance_.push_back(number(name + "importance", 1));
       safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
     }
+    if (rates_.empty() || rung_worth_.size() != rates_.size() || at(products_) != factors_.size() ||
+        factors_.size() != floors_.size() || factors_.size() != tops_.size())
+      throw std::invalid_argument("the settings' rungs and products do not match");
     weigh_rungs();
+    groups_.reserve(kChangesKept + 2);
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
     for (Link &uplink : racks_) {
       open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
@@ -177,7 +181,12 @@
       server.listed = entry.standing == Standing::active;
       if (!server.known) open_link(server.link, 0);
       server.known = true;
-      server.rack = entry.cell % static_cast<int>(racks_.size());
+      int rack = entry.cell % static_cast<int>(racks_.size());
+      for (int g = 0; g < products_ * rungs(); ++g) { // plays of ours go with it
+        racks_[at(server.rack)].own[at(g)] -= server.link.own[at(g)];
+        racks_[at(rack)].own[at(g)] += server.link.own[at(g)];
+      }
+      server.rack = rack;
     }
     size_links();
   }
@@ -261,7 +270,7 @@
 
   void probe_answered(int server, Outcome outcome, const LoadReport &report) override {
     if (outcome == Outcome::done) return read_report(server, report, now_ - kReportAge);
-    strike(servers_[at(server)]);
+    if (outcome != Outcome::busy) strike(servers_[at(server)]); // a server turns probes away over its cap
   }
 
   void timer(int label) override {
@@ -292,6 +301,7 @@
     if (now_ >= play.target_at || play.limit_at - now_ < kLeastSetUp) return give_up(index);
     if (!seat_free(terms)) return give_up(index);
 
+    heed_strikes();
     int best = -1, best_rung = -1;
     double best_room = 0;
     for (int rung = top; rung >= low && best < 0; --rung) {
@@ -378,8 +388,8 @@
       rack.slow_demand += (demand - rack.slow_demand) * std::min(1.0, kReviewEvery / note_delay_);
       rack.capacity =
           std::min(links, rack.capacity > 0 ? rack.capacity * (1 + kRegain * kReviewEvery) : links);
-      rack.is_short = alike >= 2 && alike * 3 >= with_plays * 2 && high - low < kAlike;
-      if (rack.is_short) {
+      bool is_short = alike >= 2 && alike * 3 >= with_plays * 2 && high - low < kAlike;
+      if (is_short) {
         double gives = rack.slow_demand * (low + high) / 2;
         rack.capacity =
             rack.capacity < links ? rack.capacity + kLearn * (gives - rack.capacity) : std::min(links, gives);
@@ -564,9 +574,20 @@
   }
 
   // ---- Which servers may be sent to.
+  // A symptom that most servers share says more of the front or the network than of them: serve on.
+  void heed_strikes() {
+    int listed = 0, avoided = 0;
+    for (const Server &server : servers_) {
+      listed += server.listed;
+      avoided += server.listed && now_ < server.avoid_until;
+    }
+    heed_strikes_ = avoided * 3 < listed * 2 || listed < 3;
+  }
+
   bool open_to(int s, const Play &play) const {
     const Server &server = servers_[at(s)];
-    if (!server.listed || now_ < server.avoid_until || (server.strikes > 0 && server.out > 0)) return false;
+    if (!server.listed) return false;
+    if (heed_strikes_ && (now_ < server.avoid_until || (server.strikes > 0 && server.out > 0))) return false;
     int steps = (server.entry.cell - play.terms.first_cell) % cells_;
     if ((steps < 0 ? steps + cells_ : steps) >= play.terms.cells) return false;
     for (int i = 0; i < std::min(play.allocations, static_cast<int>(play.tried.size())); ++i) {
@@ -631,17 +652,18 @@
   }
 
   void note_taken() {
-    if (number("further_span", 0) > 0) taken_at_.push_back(now_);
+    double span = number("further_span", 0);
+    std::erase_if(taken_at_, [&](double t) { return t <= now_ - span; });
+    if (span > 0) taken_at_.push_back(now_);
   }
 
   bool may_go_further() {
     double span = number("further_span", 0);
-    if (span <= 0) return true;
-    auto old = [&](double t) { return t <= now_ - span; };
-    std::erase_if(taken_at_, old);
     std::erase_if(further_at_, [&](double t) { return t < now_ - span; });
-    return static_cast<double>(further_at_.size()) + 1 <=
-           number("further_free", 0) + number("further_share", 0) * static_cast<double>(taken_at_.size());
+    auto taken = std::count_if(taken_at_.begin(), taken_at_.end(), [&](double t) { return t > now_ - span; });
+    return span <= 0 ||
+           static_cast<double>(further_at_.size()) + 1 <=
+               number("further_free", 0) + number("further_share", 0) * static_cast<double>(taken);
   }
 
   int allocations_allowed() const { return static_cast<int>(number("allocations_per_play", 1)); }
@@ -698,24 +720,21 @@
     link.changes.reserve(kChangesKept);
   }
 
-  std::string text(const std::string &name) const {
+  std::string_view text(std::string_view name) const {
     auto it = given_.find(name);
-    return it == given_.end() ? std::string() : it->second;
+    return it == given_.end() ? std::string_view() : it->second;
   }
 
-  double number(const std::string &name, double fallback) const {
-    auto it = given_.find(name);
-    if (it == given_.end()) return fallback;
-    if (it->second == "true") return 1;
-    if (it->second == "false") return 0;
-    double value = fallback;
-    std::from_chars(it->second.data(), it->second.data() + it->second.size(), value);
-    return value;
+  double number(std::string_view name, double fallback) const {
+    std::string_view value = text(name);
+    if (value == "true") return 1;
+    std::from_chars(value.data(), value.data() + value.size(), fallback);
+    return value == "false" ? 0 : fallback;
   }
 
-  std::vector<double> list(const std::string &name) const {
+  std::vector<double> list(std::string_view name) const {
     std::vector<double> values;
-    std::string all = text(name);
+    std::string_view all = text(name);
     for (std::size_t from = 0; from < all.size();) {
       std::size_t to = std::min(all.find(',', from), all.size());
       double value = 0;
@@ -736,7 +755,7 @@
   std::vector<bool> safe_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
-  bool uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
+  bool heed_strikes_ = true, uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
--- a/src/decision/policy.h
+++ b/src/decision/policy.h
@@ -4,6 +4,7 @@
 // door; a play's index may be given again once the module has forgotten it. Times are seconds.
 #pragma once
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,7 +14,7 @@
 
 namespace snowshore {
 
-using Given = std::map<std::string, std::string>; // the settings: names to values
+using Given = std::map<std::string, std::string, std::less<>>; // the settings: names to values
 
 enum class Standing { active, leaving, left };
 enum class ListKind { changes, full, held, unavailable };
