--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -80,7 +80,6 @@
   int rung = 0;
   int allocations = 0;
   double target_at = 0, limit_at = 0, started = 0, stepped_at = -1e9;
-  double ends_at = 1e18; // by the hint, where there is one
   bool may_have_run = false;
   std::array<int, 8> tried{}; // servers already allocated to
 };
@@ -136,7 +135,6 @@
     cells_ = std::max(1, static_cast<int>(number("cells", 1)));
     warm_up_ = number("warm_up", 0);
     may_probe_ = text("load_comes_with") == "probe" && number("may_probe", 0) > 0;
-    step_cost_ = number("rung_step_cost", 0);
     note_delay_ = number("note_delay", 1);
     uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
     products_ = static_cast<int>(number("products", 1));
@@ -211,7 +209,6 @@
     play.rung = lowest(terms.product);
     play.allocations = 1;
     play.started = -1e9;
-    if (terms.length_hint) play.ends_at = now_ + *terms.length_hint;
     handed_over_ = true;
     become(index, PlayState::playing);
   }
@@ -221,7 +218,6 @@
     if (play.state != PlayState::allocating || allocation != play.allocations - 1) return;
     usual_set_up_ += 0.1 * (delay - usual_set_up_);
     play.started = now_;
-    if (play.terms.length_hint) play.ends_at = now_ + *play.terms.length_hint;
     Server &server = servers_[at(play.server)];
     server.strikes = 0;
     server.avoid_until = now_;
@@ -413,8 +409,6 @@
       if (&server.link != &link && &racks_[at(server.rack)] != &link) continue;
       int rung = play.rung + by, product = play.terms.product;
       if (rung < lowest(product) || rung > highest(play.terms)) continue;
-      double differs = std::abs(rung_worth_[at(rung)] - rung_worth_[at(play.rung)]);
-      if (by > 0 && (play.ends_at - now_) * differs < step_cost_) continue; // it ends before the step pays
       double earning = earning_[at(group_of(play) + (by > 0 ? 1 : 0))] * by;
       if (best < 0 || earning > best_earning) best = p, best_earning = earning;
     }
@@ -759,7 +753,7 @@
   std::vector<double> importance_, earning_;
   std::vector<double> strictness_; // by product and rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
-  double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, step_cost_ = 0, usual_set_up_ = kSetUpGuess;
+  double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
   bool heed_strikes_ = true, uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   std::vector<Server> servers_;
