--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -148,9 +148,7 @@
     if (rates_.empty() || rung_worth_.size() != rates_.size() || at(products_) != factors_.size() ||
         factors_.size() != floors_.size() || factors_.size() != tops_.size())
       throw std::invalid_argument("the settings' rungs and products do not match");
-    for (int p = 0; p < products_; ++p) {
-      for (int r = lowest(p); r < rungs(); ++r) best_earning_ = std::max(best_earning_, earns(p, -1, r));
-    }
+    weigh_rungs();
     groups_.reserve(kChangesKept + 2);
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
     for (Link &uplink : racks_) {
@@ -309,8 +307,8 @@
     for (int rung = top; rung >= low && best < 0; --rung) {
       for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
         if (!open_to(s, play)) continue;
-        if (!fits(servers_[at(s)], rate_of(terms.product, rung), strictness(terms.product, -1, rung)))
-          continue;
+        int group = terms.product * rungs() + rung;
+        if (!fits(servers_[at(s)], group, group_rate(group))) continue;
         double room = room_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
@@ -359,10 +357,10 @@
     for (int raised = 0; raised < kRaises; ++raised) {
       int index = pick_step(server.link, 1), low = index < 0 ? 0 : plays_[at(index)].rung;
       if (index < 0) return;
-      int product = plays_[at(index)].terms.product;
       int rung = highest(plays_[at(index)].terms); // a step costs the same however far it goes
+      int from = group_of(plays_[at(index)]);
       while (rung > low &&
-             !fits(server, rate_of(product, rung) - rate_of(product, low), strictness(product, low, rung)))
+             !fits(server, from + rung - low, group_rate(from + rung - low) - group_rate(from), kRaise))
         --rung;
       if (rung == low) return;
       server.raised_at = now_;
@@ -411,7 +409,7 @@
       if (&server.link != &link && &racks_[at(server.rack)] != &link) continue;
       int rung = play.rung + by, product = play.terms.product;
       if (rung < lowest(product) || rung > highest(play.terms)) continue;
-      double earning = earns(product, std::min(play.rung, rung), std::max(play.rung, rung)) * by;
+      double earning = earning_[at(group_of(play) + (by > 0 ? 1 : 0))] * by;
       if (best < 0 || earning > best_earning) best = p, best_earning = earning;
     }
     return best;
@@ -467,17 +465,18 @@
   }
 
   // ---- The mechanism: demand on a link and the test.
-  bool fits(const Server &server, double rate, double strict) {
-    if (!passes(server.link, rate, strict)) return false;
+  bool fits(const Server &server, int group, double rate, double strictness = 1) {
+    if (!passes(server.link, group, rate, strictness)) return false;
     room_ = server.link.capacity - demand_;
-    return passes(racks_[at(server.rack)], rate, strict);
+    return passes(racks_[at(server.rack)], group, rate, strictness);
   }
 
-  bool passes(const Link &link, double rate, double strict) {
+  bool passes(const Link &link, int group, double rate, double strictness = 1) {
     if (link.capacity <= 0) return true; // nothing known of it
     gather(link);
     groups_.push_back({1, rate, kVariation});
-    return log_overrun_bound(groups_, link.capacity) <= std::log(kTolerance) * strict;
+    return log_overrun_bound(groups_, link.capacity) <=
+           std::log(kTolerance) * strictness_[at(group)] * strictness;
   }
 
   // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
@@ -509,22 +508,19 @@
     return own;
   }
 
-  // Importance for the rate that going from a rung (-1: none yet) to another adds, no more than its last step
-  // earns.
-  double earns(int product, int from, int to) const {
-    double worth = from < 0 ? 0 : rung_worth_[at(from)], rate = from < 0 ? 0 : rates_[at(from)];
-    double all = (rung_worth_[at(to)] - worth) / std::max(1e-9, rates_[at(to)] - rate);
-    double last = to <= std::max(from + 1, lowest(product))
-                      ? all
-                      : (rung_worth_[at(to)] - rung_worth_[at(to - 1)]) /
-                            std::max(1e-9, rates_[at(to)] - rates_[at(to - 1)]);
-    return std::max(1e-12, std::min(all, last)) * importance_[at(product)] / factors_[at(product)];
-  }
-
-  // What earns less for its rate than the best set-up of any product is held to a tighter tolerance, on its
-  // logarithm.
-  double strictness(int product, int from, int to) const {
-    return std::pow(best_earning_ / earns(product, from, to), kThrift) * (from < 0 ? 1 : kRaise);
+  // A rung that earns less for its rate than the best of any product is held to a tighter tolerance.
+  void weigh_rungs() {
+    for (int g = 0; g < products_ * rungs(); ++g) {
+      int r = g % rungs();
+      double more = rung_worth_[at(r)] - (r > 0 ? rung_worth_[at(r - 1)] : 0);
+      earning_.push_back(more * importance_[at(g / rungs())] /
+                         (group_rate(g) - (r > 0 ? group_rate(g - 1) : 0)));
+    }
+    for (int g = products_ * rungs() - 1; g >= 0; --g) { // a low rung opens the way to those above it
+      if (g % rungs() < rungs() - 1) earning_[at(g)] = std::max(earning_[at(g)], earning_[at(g + 1)]);
+    }
+    double best = *std::max_element(earning_.begin(), earning_.end());
+    for (double e : earning_) strictness_.push_back(std::pow(best / e, kThrift));
   }
 
   // Where weights say nothing, a kind with more places is held to have a link larger in proportion.
@@ -754,8 +750,8 @@
   std::minstd_rand chance_;
   double now_, opened_;
   std::vector<double> rates_, rung_worth_, factors_, floors_, tops_, seats_, kind_places_, targets_, limits_;
-  std::vector<double> importance_;
-  double best_earning_ = 0;
+  std::vector<double> importance_, earning_;
+  std::vector<double> strictness_; // by product and rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
