--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -69,6 +69,7 @@
 constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
 constexpr double kProbeShare = 0.3;  // probes a play taken
 constexpr double kProbeRest = 3;     // between probes of one server
+constexpr double kUnknownUse = 0.6;  // of a link that a restarted front has not heard of
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -489,8 +490,12 @@
     // A link that ran short lately may do so again (another program on and off): the memory fades.
     double fading = notes && (cautious || now_ - link.short_at < kShortHolds) ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
+    // Unheard of, own plays stand for all fronts'; to a front without memory a link is not idle but part
+    // used.
+    double untold =
+        std::max(own * fronts_, handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
     double told =
-        news ? std::max(link.told, fading) * link.capacity : std::max(own * fronts_, fading * link.capacity);
+        news ? std::max(link.told, fading) * link.capacity : std::max(untold, fading * link.capacity);
     if (news) {
       for (const Change &change : link.changes) {
         if (change.plays > 0) {
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -211,6 +211,7 @@
   play = 0;
   for (; play < 20; ++play) restarted->play_asked(play, Scene::terms(0));
   CHECK(heard.count("allocate") == 3); // one a server
+  CHECK(heard.rung < 3);               // links it has not heard of are not idle
   restarted->play_starts(0, 0, 0.1);
   restarted->note_on_play(0, NoteKind::link_asked, 0.6); // others' plays fill it: it cannot have just started
   for (; play < 25; ++play) restarted->play_asked(play, Scene::terms(0));
