--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -494,7 +494,6 @@
     // used.
     double untold =
         std::max(own * fronts_, handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
-    untold = std::max(untold, link.told * link.capacity * std::exp((link.told_at - now_) / kNewsLife));
     double told =
         news ? std::max(link.told, fading) * link.capacity : std::max(untold, fading * link.capacity);
     if (news) {
