--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -257,7 +257,7 @@
       hear(racks_[at(server.rack)], value, as_of);
     } else if (server.share = value, server.share_at = now_;
                value < 0.98) { // short of something: the link is at least so much overrun
-      server.link.short_of = std::min(3, 1 / std::max(value, 0.05));
+      server.link.short_of = 1 / std::max(value, 0.05);
       server.link.short_at = now_;
     }
   }
