--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -70,7 +70,6 @@
 constexpr double kProbeShare = 0.3;  // probes a play taken
 constexpr double kProbeRest = 3;     // between probes of one server
 constexpr double kUnknownUse = 0.6;  // of a link that a restarted front has not heard of
-constexpr double kOwnSays = 0.75;        // how far own plays on a link tell of others' there, against their mean
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -494,7 +493,7 @@
     // Unheard of, own plays stand for all fronts'; to a front without memory a link is not idle but part
     // used.
     double untold =
-        std::max(own + (fronts_ - 1) * (kOwnSays * own + (1 - kOwnSays) * usual(link)), handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
+        std::max(own * fronts_, handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
     double told =
         news ? std::max(link.told, fading) * link.capacity : std::max(untold, fading * link.capacity);
     if (news) {
@@ -548,18 +547,6 @@
                : 0;
   }
 
-  // What this front's plays come to on a link of this size, were they spread evenly.
-  double usual(const Link &link) const {
-    bool is_rack = &link >= racks_.data() && &link < racks_.data() + racks_.size();
-    double all = 0;
-    if (is_rack) {
-      for (const Link &rack : racks_) all += rack.capacity;
-    } else {
-      for (const Server &server : servers_) all += server.listed ? server.link.capacity : 0;
-    }
-    return all > 0 ? own_in_all_ * link.capacity / all : 0;
-  }
-
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
@@ -583,7 +570,6 @@
 
   void tally(const Play &play, int plays) {
     int group = group_of(play);
-    own_in_all_ += plays * group_rate(group);
     Server &server = servers_[at(play.server)];
     for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
       link->own[at(group)] += plays;
@@ -781,7 +767,7 @@
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0, room_ = 0, own_in_all_ = 0;
+  double demand_ = 0, room_ = 0;
 };
 
 } // namespace
