--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -149,10 +149,6 @@
     if (rates_.empty() || rung_worth_.size() != rates_.size() || at(products_) != factors_.size() ||
         factors_.size() != floors_.size() || factors_.size() != tops_.size())
       throw std::invalid_argument("the settings' rungs and products do not match");
-    std::string_view halls = text("halls");
-    hall_ = static_cast<int>(std::count(
-        halls.begin(),
-        halls.begin() + static_cast<std::ptrdiff_t>(std::min(halls.find(text("hall")), halls.size())), ','));
     weigh_rungs();
     groups_.reserve(kChangesKept + 2);
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
@@ -314,9 +310,7 @@
         if (!open_to(s, play)) continue;
         int group = terms.product * rungs() + rung;
         if (!fits(servers_[at(s)], group, group_rate(group))) continue;
-        // Rooms that differ by less than a lowest-rung play are equal; then a holder in this front's hall.
-        double room =
-            std::floor(room_ / rate_of(terms.product, low)) * 2 + (servers_[at(s)].entry.hall == hall_);
+        double room = room_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
         if (roomier) best = s, best_rung = rung, best_room = room;
@@ -765,7 +759,7 @@
   std::vector<double> strictness_; // by product and rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
-  int hall_ = 0, cells_ = 1, products_ = 1;
+  int cells_ = 1, products_ = 1;
   bool heed_strikes_ = true, uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   std::vector<Server> servers_;
   std::vector<Link> racks_;
