--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -275,3 +275,103 @@
   scene.front->timer(scene.heard.last_label);
   CHECK(scene.heard.count("rung") == 2);
 }
+
+TEST_CASE("where weights say nothing, the kind with more places is held to have the larger link") {
+  for (const char *meaning : {"none", "rough"}) {
+    Scene scene(Given{{"weight_meaning", meaning}, {"kind_places", "20,60"}}, 2);
+    for (ServerEntry &entry : scene.entries) entry.weight = 1, entry.kind = entry.server;
+    scene.front->list_changed(ListKind::full, scene.entries);
+    int larger = 0;
+    for (int i = 0; i < 3; ++i) {
+      scene.ask();
+      larger += scene.heard.server == 1;
+    }
+    CHECK((larger == 3) == (std::string(meaning) == "none"));
+  }
+}
+
+TEST_CASE("a note of short delivery holds against a report of a half-asked link") {
+  Scene scene(Given{{"load_fields", "link_share"}, {"load_comes_with", "probe"}, {"may_probe", "true"}}, 1);
+  int play = scene.ask();
+  scene.front->play_starts(play, 0, 0.1);
+  scene.heard.lines.clear();
+  scene.at(103);
+  scene.front->note_on_play(play, NoteKind::share_delivered, 0.7);
+  LoadReport half;
+  half.link_share = 0.4;
+  scene.front->probe_answered(0, Outcome::done, half);
+  scene.ask();
+  CHECK(scene.heard.count("decline") == 1);
+  scene.at(125); // the memory fades
+  scene.front->probe_answered(0, Outcome::done, half);
+  scene.ask();
+  CHECK(scene.heard.count("allocate") == 1);
+}
+
+TEST_CASE("servers of a rack that deliver short alike teach what an untold uplink gives") {
+  for (bool alike : {true, false}) {
+    Scene scene(Given{{"load_fields", "link_share"}}, 3);
+    std::vector<int> plays;
+    for (int cell = 0; cell < 3; ++cell) {
+      PlayTerms terms = Scene::terms(0);
+      terms.first_cell = cell, terms.cells = 1;
+      plays.push_back(scene.ask_of(terms));
+      scene.front->play_starts(plays.back(), 0, 0.1);
+    }
+    for (int tick = 0; tick < 20; ++tick) {
+      scene.at(101 + 0.5 * tick);
+      for (std::size_t i = 0; i < 3; ++i) {
+        if (alike || i == 0) scene.front->note_on_play(plays[i], NoteKind::share_delivered, 0.6);
+      }
+      scene.front->timer(scene.heard.last_label);
+    }
+    scene.heard.lines.clear();
+    scene.at(140); // notes are long past and the links' memory of them has faded
+    scene.front->timer(scene.heard.last_label);
+    scene.ask();
+    if (alike) CHECK((scene.heard.count("decline") == 1 || scene.heard.rung < 3));
+    if (!alike) CHECK(scene.heard.rung == 3);
+  }
+}
+
+TEST_CASE("a symptom that most servers share shuts none of them; a probe over a cap is no failure") {
+  struct Row {
+    Outcome outcome;
+    int struck; // of three servers
+    int allocated;
+  };
+  for (Row row : {Row{Outcome::timed_out, 1, 0}, Row{Outcome::busy, 1, 1}, Row{Outcome::timed_out, 3, 1}}) {
+    Scene scene;
+    for (int s = 0; s < row.struck; ++s) scene.front->probe_answered(s, row.outcome, {});
+    PlayTerms terms = Scene::terms(0);
+    terms.cells = 1; // held by the first server alone
+    scene.ask_of(terms);
+    CHECK(scene.heard.count("allocate") == row.allocated);
+  }
+}
+
+TEST_CASE("on a told uplink own set-ups since the news count for every front") {
+  int admitted[2];
+  for (int many : {0, 1}) {
+    Scene scene(Given{{"load_fields", "link,uplink"}, {"fronts", many ? "4" : "1"}, {"rack_uplink", "6000"}});
+    int play = scene.ask();
+    scene.front->play_starts(play, 0, 0.1);
+    scene.front->note_on_play(play, NoteKind::uplink_asked, 0.3);
+    for (int i = 0; i < 30; ++i) scene.ask();
+    admitted[many] = scene.heard.count("allocate");
+  }
+  CHECK(admitted[1] < admitted[0]);
+}
+
+TEST_CASE("a product or rung that earns less for its rate is held to a tighter test") {
+  for (const char *importance : {"1", "3"}) {
+    Scene scene(Given{{"product.1.importance", importance}}, 1);
+    int play = scene.ask(1);
+    scene.front->play_starts(play, 0, 0.1);
+    scene.tell(play, 0.55);
+    scene.ask(0);
+    int less = scene.heard.rung;
+    scene.ask(1);
+    CHECK((scene.heard.rung > less) == (std::string(importance) == "3"));
+  }
+}
