--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -353,7 +353,10 @@
 TEST_CASE("on a told uplink own set-ups since the news count for every front") {
   int admitted[2];
   for (int many : {0, 1}) {
-    Scene scene(Given{{"load_fields", "link,uplink"}, {"fronts", many ? "4" : "1"}, {"rack_uplink", "6000"}});
+    Scene scene(Given{{"load_fields", "link,uplink"},
+                      {"fronts", many ? "4" : "1"},
+                      {"rack_uplink", "6000"},
+                      {"link_per_weight", "100000"}});
     int play = scene.ask();
     scene.front->play_starts(play, 0, 0.1);
     scene.front->note_on_play(play, NoteKind::uplink_asked, 0.3);
