--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -302,7 +302,11 @@
   scene.front->probe_answered(0, Outcome::done, half);
   scene.ask();
   CHECK(scene.heard.count("decline") == 1);
-  scene.at(125); // the memory fades
+  scene.at(104.5); // remembered, whatever reports say
+  scene.front->probe_answered(0, Outcome::done, half);
+  scene.ask();
+  CHECK(scene.heard.count("decline") == 2);
+  scene.at(125); // and forgotten at last
   scene.front->probe_answered(0, Outcome::done, half);
   scene.ask();
   CHECK(scene.heard.count("allocate") == 1);
