Tried: a step down larger than this front's part is taken by chance

Cause looked for: six fronts on a valle incident each step down at least one play, together too much.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -338,9 +338,11 @@
     while (mine > 0) {
       int play = pick_step(link, -1);
       if (play < 0) return;
-      mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
+      double freed = group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
+      if (chance() * freed > mine)
+        return; // less than a step is taken by chance, or many fronts free too much
+      mine -= freed;
       step(play, -1);
-      link.lowered_at = now_;
     }
   }
 
