--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -338,11 +338,9 @@
     while (mine > 0) {
       int play = pick_step(link, -1);
       if (play < 0) return;
-      double freed = group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
-      if (chance() * freed > mine)
-        return; // less than a step is taken by chance, or many fronts free too much
-      mine -= freed;
+      mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
       step(play, -1);
+      link.lowered_at = now_;
     }
   }
 
