Few own plays on an unheard link say little: the mean a link weighs in

Change: others' plays from own ones there, weighted n over n plus 1, and else from own mean a link. Guards against any thin news with many fronts; harms where one title makes a server heavy for all.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -70,6 +70,7 @@
 constexpr double kProbeShare = 0.3;  // probes a play taken
 constexpr double kProbeRest = 3;     // between probes of one server
 constexpr double kUnknownUse = 0.6;  // of a link that a restarted front has not heard of
+constexpr double kFewPlays = 1;      // own plays on a link that tell as much of others' as the mean does
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -484,16 +485,20 @@
   // own.
   double gather(const Link &link, bool cautious = true, bool notes = true) {
     groups_.clear();
-    double own = 0, since = 0;
-    for (int g = 0; g < static_cast<int>(link.own.size()); ++g) own += link.own[at(g)] * group_rate(g);
+    double own = 0, since = 0, plays = 0;
+    for (int g = 0; g < static_cast<int>(link.own.size()); ++g) {
+      own += link.own[at(g)] * group_rate(g);
+      plays += link.own[at(g)];
+    }
+    double weight = plays / (plays + kFewPlays); // few own plays tell little of what others have there
     bool news = now_ - link.told_at < kNewsLife;
     // A link that ran short lately may do so again (another program on and off): the memory fades.
     double fading = notes && (cautious || now_ - link.short_at < kShortHolds) ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
     // Unheard of, own plays stand for all fronts'; to a front without memory a link is not idle but part
     // used.
-    double untold =
-        std::max(own * fronts_, handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
+    double untold = std::max(own + (fronts_ - 1) * (weight * own + (1 - weight) * usual(link)),
+                             handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
     double told =
         news ? std::max(link.told, fading) * link.capacity : std::max(untold, fading * link.capacity);
     if (news) {
@@ -547,6 +552,18 @@
                : 0;
   }
 
+  // What this front's plays come to on a link of this size, were they spread evenly.
+  double usual(const Link &link) const {
+    bool is_rack = &link >= racks_.data() && &link < racks_.data() + racks_.size();
+    double all = 0;
+    if (is_rack) {
+      for (const Link &rack : racks_) all += rack.capacity;
+    } else {
+      for (const Server &server : servers_) all += server.listed ? server.link.capacity : 0;
+    }
+    return all > 0 ? own_in_all_ * link.capacity / all : 0;
+  }
+
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
@@ -570,6 +587,7 @@
 
   void tally(const Play &play, int plays) {
     int group = group_of(play);
+    own_in_all_ += plays * group_rate(group);
     Server &server = servers_[at(play.server)];
     for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
       link->own[at(group)] += plays;
@@ -767,7 +785,7 @@
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0, room_ = 0;
+  double demand_ = 0, room_ = 0, own_in_all_ = 0;
 };
 
 } // namespace
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -382,3 +382,17 @@
     CHECK((scene.heard.rung > less) == (std::string(importance) == "3"));
   }
 }
+
+TEST_CASE("a link without news is held to carry others' plays as this front's mean has it, not to be idle") {
+  int rung[2];
+  for (int many : {0, 1}) {
+    Scene scene(Given{{"fronts", many ? "6" : "1"}, {"link_per_weight", "500"}}, 3);
+    PlayTerms terms = Scene::terms(0);
+    terms.cells = 2; // the first two servers only
+    for (int i = 0; i < 4; ++i) scene.ask_of(terms);
+    terms.first_cell = 2, terms.cells = 1; // the third carries none of ours
+    scene.ask_of(terms);
+    rung[many] = scene.heard.server == 2 ? scene.heard.rung : -1;
+  }
+  CHECK(rung[1] < rung[0]);
+}
