Untold use is worked out only where there is no news

The sum over all servers ran at every test of a link, also where news made it idle. Comments of the steps up say what they do.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -345,20 +345,22 @@
     }
   }
 
-  // Where room lasts, one play steps up; fronts take turns on a server so that not all answer the same news.
+  // Where room lasts, a few plays step up; fronts take turns on a server so that not all answer the same
+  // news.
   void raise(Server &server) {
     auto beat = static_cast<std::uint64_t>(now_ / kTurn);
     bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
                 static_cast<std::uint64_t>(number("front_index", 0));
     if (!turn || now_ - server.raised_at < kTurn) return;
-    if (server.link.told_at > 0 &&
-        now_ - server.link.told_at > kFreshNews) {       // before the first news own plays
-      if (pick_step(server.link, 1) >= 0) probe(server); // stand for all fronts'
+    // On old news it asks first; before the first news own plays stand for all fronts'.
+    if (server.link.told_at > 0 && now_ - server.link.told_at > kFreshNews) {
+      if (pick_step(server.link, 1) >= 0) probe(server);
       return;
     }
     for (int raised = 0; raised < kRaises; ++raised) {
-      int index = pick_step(server.link, 1), low = index < 0 ? 0 : plays_[at(index)].rung;
+      int index = pick_step(server.link, 1);
       if (index < 0) return;
+      int low = plays_[at(index)].rung;
       int rung = highest(plays_[at(index)].terms); // a step costs the same however far it goes
       int from = group_of(plays_[at(index)]);
       while (rung > low &&
@@ -490,17 +492,12 @@
       own += link.own[at(g)] * group_rate(g);
       plays += link.own[at(g)];
     }
-    double weight = plays / (plays + kFewPlays); // few own plays tell little of what others have there
     bool news = now_ - link.told_at < kNewsLife;
     // A link that ran short lately may do so again (another program on and off): the memory fades.
     double fading = notes && (cautious || now_ - link.short_at < kShortHolds) ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
-    // Unheard of, own plays stand for all fronts'; to a front without memory a link is not idle but part
-    // used.
-    double untold = std::max(own + (fronts_ - 1) * (weight * own + (1 - weight) * usual(link)),
-                             handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
     double told =
-        news ? std::max(link.told, fading) * link.capacity : std::max(untold, fading * link.capacity);
+        std::max(news ? link.told * link.capacity : untold(link, own, plays), fading * link.capacity);
     if (news) {
       for (const Change &change : link.changes) {
         if (change.plays > 0) {
@@ -552,6 +549,14 @@
                : 0;
   }
 
+  // Unheard of, own plays stand for all fronts', few of them less than their mean a link; to a front without
+  // memory a link that it has not heard of is not idle but part used.
+  double untold(const Link &link, double own, double plays) const {
+    double weight = plays / (plays + kFewPlays);
+    double all = own + (fronts_ - 1) * (weight * own + (1 - weight) * usual(link));
+    return std::max(all, handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
+  }
+
   // What this front's plays come to on a link of this size, were they spread evenly.
   double usual(const Link &link) const {
     bool is_rack = &link >= racks_.data() && &link < racks_.data() + racks_.size();
