Own set-ups speak for all fronts only as far as they are more than chance

Cause: on told uplinks own set-ups since the news were multiplied by the fronts, so with 60 to 280 fronts one set-up made an uplink look overrun and plays stepped down on links 0.4 used. Now the others' part grows with the set-ups this front usually makes there between two pieces of news, and steps down do not use it.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -71,6 +71,7 @@
 constexpr double kProbeRest = 3;     // between probes of one server
 constexpr double kUnknownUse = 0.6;  // of a link that a restarted front has not heard of
 constexpr double kFewPlays = 1;      // own plays on a link that tell as much of others' as the mean does
+constexpr double kPaceOver = 10;     // own set-ups a second are a mean over so long
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -99,9 +100,8 @@
   double short_of = 0, short_at = -1e9; // the last told use over one, and when
   double lowered_at = -1e9;             // plays of ours stepped down for it
   double slow_demand = 0;               // of an untold uplink: demand as of about when notes are of
-  double adders = 1;           // fronts that add alike after the same news: all, on an uplink that is told
-  std::vector<int> own;        // this front's plays, by product and rung
-  std::vector<Change> changes; // ours since told_at
+  std::vector<int> own;                 // this front's plays, by product and rung
+  std::vector<Change> changes;          // ours since told_at
 };
 
 struct Server {
@@ -153,10 +153,7 @@
     weigh_rungs();
     groups_.reserve(kChangesKept + 2);
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
-    for (Link &uplink : racks_) {
-      open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
-      if (uplinks_told_) uplink.adders = fronts_;
-    }
+    for (Link &uplink : racks_) open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
     if (text("list_mode") == "on_request") answers_.follow_list();
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -325,6 +322,7 @@
     play.tried[at(play.allocations) % play.tried.size()] = best;
     ++play.allocations;
     servers_[at(best)].last_sent = now_;
+    pace_ += (1 - pace_ * (now_ - paced_at_)) / kPaceOver, paced_at_ = now_;
     answers_.set_rung(index, best_rung);
     answers_.allocate(index, best, time_out(play));
     become(index, PlayState::allocating);
@@ -499,10 +497,11 @@
     double told =
         std::max(news ? link.told * link.capacity : untold(link, own, plays), fading * link.capacity);
     if (news) {
+      double adders = cautious ? fronts_adding(link) : 1;
       for (const Change &change : link.changes) {
         if (change.plays > 0) {
-          groups_.push_back({change.plays * link.adders, group_rate(change.group), kVariation});
-          since += change.plays * link.adders * group_rate(change.group);
+          groups_.push_back({change.plays * adders, group_rate(change.group), kVariation});
+          since += change.plays * adders * group_rate(change.group);
         } else {
           told += change.plays * group_rate(change.group);
         }
@@ -515,6 +514,14 @@
     return own;
   }
 
+  // Fronts that add alike after the same news of a told uplink: own set-ups speak for the others' as far as
+  // this front sets up often enough between two pieces of news for them to be more than chance.
+  double fronts_adding(const Link &link) const {
+    if (!uplinks_told_ || !is_rack(link)) return 1;
+    double usual = pace_ * (now_ - link.told_at) / static_cast<double>(racks_.size());
+    return 1 + (fronts_ - 1) * usual / (usual + 1);
+  }
+
   // A rung that earns less for its rate than the best of any product is held to a tighter tolerance.
   void weigh_rungs() {
     for (int g = 0; g < products_ * rungs(); ++g) {
@@ -559,9 +566,8 @@
 
   // What this front's plays come to on a link of this size, were they spread evenly.
   double usual(const Link &link) const {
-    bool is_rack = &link >= racks_.data() && &link < racks_.data() + racks_.size();
     double all = 0;
-    if (is_rack) {
+    if (is_rack(link)) {
       for (const Link &rack : racks_) all += rack.capacity;
     } else {
       for (const Server &server : servers_) all += server.listed ? server.link.capacity : 0;
@@ -569,6 +575,10 @@
     return all > 0 ? own_in_all_ * link.capacity / all : 0;
   }
 
+  bool is_rack(const Link &link) const {
+    return &link >= racks_.data() && &link < racks_.data() + racks_.size();
+  }
+
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
@@ -790,7 +800,7 @@
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0, room_ = 0, own_in_all_ = 0;
+  double demand_ = 0, room_ = 0, own_in_all_ = 0, pace_ = 0, paced_at_ = 0;
 };
 
 } // namespace
