Unheard links are held to be used as those heard of lately

Cause: own plays times the fronts says nothing with 60 or more fronts: one own play stood for dozens. Now the usual use of links heard of lately, own plays over all fronts (weighing 4 plays a link heard) and 0.6 of weight one make a prior; own plays above what is expected shift it. The special case of a front without memory is gone from this guess.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -69,7 +69,8 @@
 constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
 constexpr double kProbeShare = 0.3;  // probes a play taken
 constexpr double kProbeRest = 3;     // between probes of one server
-constexpr double kUnknownUse = 0.6;  // of a link that a restarted front has not heard of
+constexpr double kUnknownUse = 0.6;  // of a link, before anything tells of any; weighs as one heard of
+constexpr double kPlaysALink = 4;    // own plays that tell as much of the usual use as one link heard of
 constexpr double kFewPlays = 1;      // own plays on a link that tell as much of others' as the mean does
 constexpr double kPaceOver = 10;     // own set-ups a second are a mean over so long
 constexpr std::size_t kChangesKept = 64;
@@ -104,6 +105,10 @@
   std::vector<Change> changes;          // ours since told_at
 };
 
+struct Usual { // what was told of links, or of uplinks, lately
+  double use = 0, weight = 0, at = 0;
+};
+
 struct Server {
   ServerEntry entry;
   bool listed = false, known = false, seen_warm = false;
@@ -544,10 +549,13 @@
     for (const Server &server : servers_) {
       if (server.listed) places += places_of(server), ++listed;
     }
+    link_capacity_ = rack_capacity_ = 0;
     for (Server &server : servers_) {
       double part = by_places && places > 0 ? places_of(server) * listed / places : 1;
       if (server.known) server.link.capacity = server.entry.weight * part * number("link_per_weight", 0);
+      if (server.listed) link_capacity_ += server.link.capacity;
     }
+    for (const Link &rack : racks_) rack_capacity_ += rack.capacity;
   }
 
   double places_of(const Server &server) const {
@@ -556,23 +564,19 @@
                : 0;
   }
 
-  // Unheard of, own plays stand for all fronts', few of them less than their mean a link; to a front without
-  // memory a link that it has not heard of is not idle but part used.
+  // Unheard of, a link is held to be used as those heard of lately are, and as far as own plays, which come
+  // to so many a link, tell of all fronts'; more own plays than that here speak of more of the others'.
   double untold(const Link &link, double own, double plays) const {
-    double weight = plays / (plays + kFewPlays);
-    double all = own + (fronts_ - 1) * (weight * own + (1 - weight) * usual(link));
-    return std::max(all, handed_over_ || link.told_at > 0 ? 0 : kUnknownUse * link.capacity);
-  }
-
-  // What this front's plays come to on a link of this size, were they spread evenly.
-  double usual(const Link &link) const {
-    double all = 0;
-    if (is_rack(link)) {
-      for (const Link &rack : racks_) all += rack.capacity;
-    } else {
-      for (const Server &server : servers_) all += server.listed ? server.link.capacity : 0;
-    }
-    return all > 0 ? own_in_all_ * link.capacity / all : 0;
+    bool rack = is_rack(link);
+    const Usual &usual = usual_[rack];
+    double all = rack ? rack_capacity_ : link_capacity_;
+    if (all <= 0) return own;
+    double heard = usual.weight * std::exp((usual.at - now_) / kNewsLife);
+    double weight = held_ / kPlaysALink;
+    double use =
+        (heard * usual.use + weight * own_in_all_ * fronts_ / all + kUnknownUse) / (heard + weight + 1);
+    double expected = held_ * link.capacity / all;
+    return own + (fronts_ - 1) / fronts_ * use * link.capacity * (kFewPlays + plays) / (kFewPlays + expected);
   }
 
   bool is_rack(const Link &link) const {
@@ -582,6 +586,10 @@
   void hear(Link &link, double asked, double as_of) {
     if (as_of < link.told_at) return;
     link.told = asked;
+    Usual &usual = usual_[is_rack(link)];
+    usual.weight = 1 + usual.weight * std::exp((usual.at - now_) / kNewsLife);
+    usual.use += (asked - usual.use) / usual.weight;
+    usual.at = now_;
     if (asked > 1) link.short_of = asked, link.short_at = as_of;
     link.told_at = as_of;
     std::erase_if(link.changes, [&](const Change &c) { return c.at <= as_of; });
@@ -602,7 +610,7 @@
 
   void tally(const Play &play, int plays) {
     int group = group_of(play);
-    own_in_all_ += plays * group_rate(group);
+    own_in_all_ += plays * group_rate(group), held_ += plays;
     Server &server = servers_[at(play.server)];
     for (Link *link : {&server.link, &racks_[at(server.rack)]}) {
       link->own[at(group)] += plays;
@@ -800,7 +808,9 @@
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0, room_ = 0, own_in_all_ = 0, pace_ = 0, paced_at_ = 0;
+  double demand_ = 0, room_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0;
+  std::array<Usual, 2> usual_; // of links, of uplinks
+  double pace_ = 0, paced_at_ = 0;
 };
 
 } // namespace
