Steps up once for each piece of news, by chance, not by turns of the fronts

Cause: a front's turn on a server came every 2 s times the fronts, so at full size hardly any play stepped up.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -57,15 +57,15 @@
 constexpr double kReviewEvery = 0.5; // plays under way are looked at so often
 constexpr double kFreshNews = 5;     // and only where the news of a link is no older than this
 constexpr double kShortFrom = 1.1;   // demand over capacity from which plays are stepped down
-constexpr double kTurn = 2;          // a front's turn to step up on a server
 constexpr double kStepRest = 5;      // a play is left at its rung so long after a step
 constexpr double kShortFades = 8;    // the memory of a short link fades over so long
-constexpr double kRaise = 1.5;       // how much tighter the test is for a step up
+constexpr double kRaise = 2.5;       // how much tighter the test is for a step up
 constexpr double kShortHolds = 1.5;  // a note of short delivery holds so long, whatever reports say
 constexpr double kAlike = 0.12;      // shares delivered in a rack that differ by less have one cause
 constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
-constexpr int kRaises = 3;           // steps up at most in one turn
+constexpr int kRaises = 3;           // steps up at most for one piece of news
+constexpr double kLeastPart = 0.06;  // a lesser part of all plays does not step up
 constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
 constexpr double kProbeShare = 0.3;  // probes a play taken
 constexpr double kProbeRest = 3;     // between probes of one server
@@ -114,7 +114,7 @@
   bool listed = false, known = false, seen_warm = false;
   Link link;
   int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
-  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -1e9;
+  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -2e9;
   double share = 1, share_at = -1e9; // delivered, when last told
   int strikes = 0;
 };
@@ -348,29 +348,31 @@
     }
   }
 
-  // Where room lasts, a few plays step up; fronts take turns on a server so that not all answer the same
-  // news.
+  // Where room lasts, a few plays step up, once for each piece of news. All fronts with plays there hear the
+  // same, so each steps by the chance at which all of them together, each for its share of the use, still
+  // pass.
   void raise(Server &server) {
-    auto beat = static_cast<std::uint64_t>(now_ / kTurn);
-    bool turn = (beat + mix(server.entry.number)) % static_cast<std::uint64_t>(fronts_) ==
-                static_cast<std::uint64_t>(number("front_index", 0));
-    if (!turn || now_ - server.raised_at < kTurn) return;
     // On old news it asks first; before the first news own plays stand for all fronts'.
     if (server.link.told_at > 0 && now_ - server.link.told_at > kFreshNews) {
       if (pick_step(server.link, 1) >= 0) probe(server);
       return;
     }
+    if (server.link.told_at <= server.raised_at) return;
+    server.raised_at = server.link.told_at;
     for (int raised = 0; raised < kRaises; ++raised) {
       int index = pick_step(server.link, 1);
       if (index < 0) return;
       int low = plays_[at(index)].rung;
       int rung = highest(plays_[at(index)].terms); // a step costs the same however far it goes
       int from = group_of(plays_[at(index)]);
-      while (rung > low &&
-             !fits(server, from + rung - low, group_rate(from + rung - low) - group_rate(from), kRaise))
-        --rung;
-      if (rung == low) return;
-      server.raised_at = now_;
+      double part = 0;
+      for (; rung > low && part == 0; part > 0 ? rung : --rung) {
+        double more = group_rate(from + rung - low) - group_rate(from);
+        part = 1;
+        while (part > kLeastPart && !fits(server, from + rung - low, more, kRaise, part)) part /= 2;
+        if (part <= kLeastPart) part = 0;
+      }
+      if (rung == low || chance() >= part) return;
       step(index, rung - low);
     }
   }
@@ -472,16 +474,17 @@
   }
 
   // ---- The mechanism: demand on a link and the test.
-  bool fits(const Server &server, int group, double rate, double strictness = 1) {
-    if (!passes(server.link, group, rate, strictness)) return false;
+  // With a part: as if this part of all plays there, whichever front's, did the same.
+  bool fits(const Server &server, int group, double rate, double strictness = 1, double part = 0) {
+    if (!passes(server.link, group, rate, strictness, part)) return false;
     room_ = server.link.capacity - demand_;
-    return passes(racks_[at(server.rack)], group, rate, strictness);
+    return passes(racks_[at(server.rack)], group, rate, strictness, part);
   }
 
-  bool passes(const Link &link, int group, double rate, double strictness = 1) {
+  bool passes(const Link &link, int group, double rate, double strictness = 1, double part = 0) {
     if (link.capacity <= 0) return true; // nothing known of it
-    gather(link);
-    groups_.push_back({1, rate, kVariation});
+    double own = gather(link);
+    groups_.push_back({std::max(1.0, part * demand_ / std::max(own, 1.0)), rate, kVariation});
     return log_overrun_bound(groups_, link.capacity) <=
            std::log(kTolerance) * strictness_[at(group)] * strictness;
   }
