A step down larger than this front's part is taken by chance, at four times the odds

Cause: every front with plays on a short link stepped one down, 80 fronts answering a small excess together. A short link costs more than one with room.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -64,15 +64,16 @@
 constexpr double kAlike = 0.12;      // shares delivered in a rack that differ by less have one cause
 constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
 constexpr double kRegain = 0.02;     // and how much of it is won back a second
-constexpr int kRaises = 3;           // steps up at most for one piece of news
-constexpr double kLeastPart = 0.06;  // a lesser part of all plays does not step up
-constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
-constexpr double kProbeShare = 0.3;  // probes a play taken
-constexpr double kProbeRest = 3;     // between probes of one server
-constexpr double kUnknownUse = 0.6;  // of a link, before anything tells of any; weighs as one heard of
-constexpr double kPlaysALink = 4;    // own plays that tell as much of the usual use as one link heard of
-constexpr double kFewPlays = 1;      // own plays on a link that tell as much of others' as the mean does
-constexpr double kPaceOver = 10;     // own set-ups a second are a mean over so long
+constexpr double kOvershoot = 4; // a link short costs more than one with room: so much more is stepped down
+constexpr int kRaises = 3;       // steps up at most for one piece of news
+constexpr double kLeastPart = 0.06; // a lesser part of all plays does not step up
+constexpr double kWarmProof = 0.3;  // of a link asked by others: a server that carries so much is warm
+constexpr double kProbeShare = 0.3; // probes a play taken
+constexpr double kProbeRest = 3;    // between probes of one server
+constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
+constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
+constexpr double kFewPlays = 1;     // own plays on a link that tell as much of others' as the mean does
+constexpr double kPaceOver = 10;    // own set-ups a second are a mean over so long
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -342,9 +343,13 @@
     while (mine > 0) {
       int play = pick_step(link, -1);
       if (play < 0) return;
-      mine -= group_rate(group_of(plays_[at(play)])) - group_rate(group_of(plays_[at(play)]) - 1);
-      step(play, -1);
+      int group = group_of(plays_[at(play)]);
+      double less = group_rate(group) - group_rate(group - 1);
       link.lowered_at = now_;
+      if (chance() * less > kOvershoot * mine)
+        return; // fronts with less than a step to give take it by chance
+      mine -= less;
+      step(play, -1);
     }
   }
 
