Steps up: first the rung that the largest part of plays can take

Cause: the search began at the highest rung and took a part of an eighth of the plays, so the chance of any step was small. Now parts are halved outside, rungs lowered inside.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -69,7 +69,7 @@
 constexpr double kLeastPart = 0.06; // a lesser part of all plays does not step up
 constexpr double kWarmProof = 0.3;  // of a link asked by others: a server that carries so much is warm
 constexpr double kProbeShare = 0.3; // probes a play taken, at most, to keep all servers heard of
-constexpr double kStepProbe = 20;   // and to step a play up: one in so long for each play of ours there
+constexpr double kStepProbe = 20;  // and to step a play up: one in so long for each play of ours there
 constexpr double kProbeRest = 3;    // between probes of one server
 constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
 constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
@@ -389,15 +389,14 @@
     for (int raised = 0; raised < kRaises; ++raised) {
       int index = pick_step(server.link, 1);
       if (index < 0) return;
-      int low = plays_[at(index)].rung;
-      int rung = highest(plays_[at(index)].terms); // a step costs the same however far it goes
+      int low = plays_[at(index)].rung, rung = low;
       int from = group_of(plays_[at(index)]);
-      double part = 0;
-      for (; rung > low && part == 0; part > 0 ? rung : --rung) {
-        double more = group_rate(from + rung - low) - group_rate(from);
-        part = 1;
-        while (part > kLeastPart && !fits(server, from + rung - low, more, kRaise, part)) part /= 2;
-        if (part <= kLeastPart) part = 0;
+      double part = 2;
+      while (rung == low && (part /= 2) > kLeastPart) {
+        rung = highest(plays_[at(index)].terms); // a step costs the same however far it goes
+        while (rung > low && !fits(server, from + rung - low,
+                                   group_rate(from + rung - low) - group_rate(from), kRaise, part))
+          --rung;
       }
       if (rung == low || chance() >= part) return;
       step(index, rung - low);
