Where load comes to probes, two unheard holders are asked before a play is placed

Cause: on a large fleet all holders of a title are usually unheard of, so the choice was by lot, links stood at 0.1 and at 0.9 side by side and the fuller ones got no better rungs.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -69,6 +69,8 @@
 constexpr double kLeastPart = 0.06; // a lesser part of all plays does not step up
 constexpr double kWarmProof = 0.3;  // of a link asked by others: a server that carries so much is warm
 constexpr double kProbeShare = 0.3; // probes a play taken, at most, to keep all servers heard of
+constexpr std::size_t kAsked = 2;   // holders asked before a play is placed
+constexpr double kAskWait = 0.02;   // and so long waited for
 constexpr double kStepProbe = 20;  // and to step a play up: one in so long for each play of ours there
 constexpr double kProbeRest = 3;    // between probes of one server
 constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
@@ -203,7 +205,7 @@
     play.target_at = now_ + std::min(targets_[at(terms.product)], play.limit_at - now_);
     note_taken();
     become(index, PlayState::asked);
-    place(index);
+    if (!ask_holders(index)) place(index);
     probe_stalest();
   }
 
@@ -287,6 +289,11 @@
 
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
+    if (label == kPlace) {
+      for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
+        if (plays_[at(p)].state == PlayState::asked) place(p);
+      }
+    }
     if (label != kReview) return;
     if (!uplinks_told_) judge_racks();
     for (Link &rack : racks_) lower(rack);
@@ -299,7 +306,7 @@
   }
 
  private:
-  enum Label { kAskList = 1, kReview };
+  enum Label { kAskList = 1, kReview, kPlace };
 
   // The ordinary path: the highest rung that passes, on the roomiest holder, or an answer at once.
   void place(int index) {
@@ -342,6 +349,30 @@
     if (now_ - servers_[at(best)].link.told_at > kFreshNews) probe(servers_[at(best)]);
   }
 
+  // Where load is told to probes, a play whose holders are mostly unheard of asks a few of them first: an
+  // answer takes a moment, a bad choice costs the play's whole length. True if the play now waits for them.
+  bool ask_holders(int index) {
+    Play &play = plays_[at(index)];
+    if (!may_probe_) return false;
+    std::array<int, kAsked> best;
+    best.fill(-1);
+    heed_strikes();
+    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
+      if (now_ - servers_[at(s)].link.told_at <= kFreshNews || !open_to(s, play)) continue;
+      int in = s;
+      for (int &b : best) {
+        if (b < 0 || hash(play.terms, in) > hash(play.terms, b)) std::swap(b, in);
+        if (in < 0) break;
+      }
+    }
+    if (best[0] < 0) return false;
+    for (int s : best) {
+      if (s >= 0) probe(servers_[at(s)]);
+    }
+    answers_.set_timer(kAskWait, kPlace);
+    return true;
+  }
+
   // News that comes while a play is set up still changes its rung for nothing.
   void regrade(int index) {
     Play &play = plays_[at(index)];
