--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -75,7 +75,7 @@
 constexpr double kProbeRest = 3;    // between probes of one server
 constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
 constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
-constexpr double kFewPlays = 1;     // own plays on a link that tell as much of others' as the mean does
+constexpr double kFewPlays = 3;     // own plays on a link that tell as much of others' as the mean does
 constexpr double kPaceOver = 10;    // own set-ups a second are a mean over so long
 constexpr std::size_t kChangesKept = 64;
 
@@ -145,7 +145,7 @@
     fronts_ = std::max(1.0, number("fronts", 1));
     cells_ = std::max(1, static_cast<int>(number("cells", 1)));
     warm_up_ = number("warm_up", 0);
-    may_probe_ = text("load_comes_with") == "probe" && number("may_probe", 0) > 0;
+    may_probe_ = text("load_comes_with") != "none" && number("may_probe", 0) > 0;
     note_delay_ = number("note_delay", 1);
     uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
     products_ = static_cast<int>(number("products", 1));
