--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -68,14 +68,13 @@
 constexpr int kRaises = 3;       // steps up at most for one piece of news
 constexpr double kLeastPart = 0.06; // a lesser part of all plays does not step up
 constexpr double kWarmProof = 0.3;  // of a link asked by others: a server that carries so much is warm
-constexpr double kProbeShare = 0.3; // probes a play taken, at most, to keep all servers heard of
 constexpr std::size_t kAsked = 2;   // holders asked before a play is placed
 constexpr double kAskWait = 0.02;   // and so long waited for
-constexpr double kStepProbe = 20;  // and to step a play up: one in so long for each play of ours there
+constexpr double kStepProbe = 20;   // and to step a play up: one in so long for each play of ours there
 constexpr double kProbeRest = 3;    // between probes of one server
 constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
 constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
-constexpr double kFewPlays = 3;     // own plays on a link that tell as much of others' as the mean does
+constexpr double kFewPlays = 6;     // own plays on a link that tell as much of others' as the mean does
 constexpr double kPaceOver = 10;    // own set-ups a second are a mean over so long
 constexpr std::size_t kChangesKept = 64;
 
@@ -206,7 +205,6 @@
     note_taken();
     become(index, PlayState::asked);
     if (!ask_holders(index)) place(index);
-    probe_stalest();
   }
 
   void play_handed_over(int index, int server, const PlayTerms &terms) override {
@@ -277,13 +275,7 @@
   }
 
   void probe_answered(int server, Outcome outcome, const LoadReport &report) override {
-    if (outcome == Outcome::done) {
-      read_report(server, report, now_ - kReportAge);
-      for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
-        if (plays_[at(p)].state == PlayState::allocating && plays_[at(p)].server == server) regrade(p);
-      }
-      return;
-    }
+    if (outcome == Outcome::done) return read_report(server, report, now_ - kReportAge);
     if (outcome != Outcome::busy) strike(servers_[at(server)]); // a server turns probes away over its cap
   }
 
@@ -346,14 +338,13 @@
     answers_.set_rung(index, best_rung);
     answers_.allocate(index, best, time_out(play));
     become(index, PlayState::allocating);
-    if (now_ - servers_[at(best)].link.told_at > kFreshNews) probe(servers_[at(best)]);
   }
 
   // Where load is told to probes, a play whose holders are mostly unheard of asks a few of them first: an
   // answer takes a moment, a bad choice costs the play's whole length. True if the play now waits for them.
   bool ask_holders(int index) {
     Play &play = plays_[at(index)];
-    if (!may_probe_) return false;
+    if (!may_probe_ || play.terms.again) return false; // who comes again has been asked for
     std::array<int, kAsked> best;
     best.fill(-1);
     heed_strikes();
@@ -373,19 +364,6 @@
     return true;
   }
 
-  // News that comes while a play is set up still changes its rung for nothing.
-  void regrade(int index) {
-    Play &play = plays_[at(index)];
-    int product = play.terms.product, held = play.rung, rung = highest(play.terms);
-    tally(play, -1);
-    while (rung > lowest(product) &&
-           !fits(servers_[at(play.server)], product * rungs() + rung, rate_of(product, rung)))
-      --rung;
-    play.rung = rung;
-    tally(play, 1);
-    if (rung != held) answers_.set_rung(index, rung);
-  }
-
   // Plays under way. Where a link runs short this front steps down its part of the excess.
   void lower(Link &link) {
     if (now_ - std::max(link.told_at, link.short_at) > kFreshNews) return;
@@ -782,21 +760,6 @@
     return std::min(limit, std::max(target / 2, std::min(target, 3 * usual_set_up_)));
   }
 
-  // Where load is told to probes only, the server heard of least lately is asked, as often as what it says
-  // will be of use to a set-up: often where this front sets up much on few servers, hardly where little on
-  // many.
-  void probe_stalest() {
-    Server *stalest = nullptr;
-    double listed = 0;
-    for (Server &server : servers_) {
-      if (!server.listed) continue;
-      ++listed;
-      if (!stalest || server.probed_at < stalest->probed_at) stalest = &server;
-    }
-    double uses = pace_ * kFreshNews;
-    if (stalest && chance() < kProbeShare * uses / (uses + listed)) probe(*stalest);
-  }
-
   void probe(Server &server) {
     if (!may_probe_ || now_ - server.probed_at < kProbeRest) return;
     server.probed_at = now_;
