--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -61,9 +61,6 @@
 constexpr double kShortFades = 8;    // the memory of a short link fades over so long
 constexpr double kRaise = 2.5;       // how much tighter the test is for a step up
 constexpr double kShortHolds = 1.5;  // a note of short delivery holds so long, whatever reports say
-constexpr double kAlike = 0.12;      // shares delivered in a rack that differ by less have one cause
-constexpr double kLearn = 0.3;       // how far one sight of a short uplink moves what it is held to give
-constexpr double kRegain = 0.02;     // and how much of it is won back a second
 constexpr double kOvershoot = 4; // a link short costs more than one with room: so much more is stepped down
 constexpr int kRaises = 3;       // steps up at most for one piece of news
 constexpr double kLeastPart = 0.06; // a lesser part of all plays does not step up
@@ -103,7 +100,6 @@
   double told_at = -1e9;                // the moment the told use is of
   double short_of = 0, short_at = -1e9; // the last told use over one, and when
   double lowered_at = -1e9;             // plays of ours stepped down for it
-  double slow_demand = 0;               // of an untold uplink: demand as of about when notes are of
   std::vector<int> own;                 // this front's plays, by product and rung
   std::vector<Change> changes;          // ours since told_at
 };
@@ -118,7 +114,6 @@
   Link link;
   int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
   double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -2e9;
-  double share = 1, share_at = -1e9; // delivered, when last told
   int strikes = 0;
 };
 
@@ -260,8 +255,7 @@
       see_warm(server, value);
     } else if (kind == NoteKind::uplink_asked) {
       hear(racks_[at(server.rack)], value, as_of);
-    } else if (server.share = value, server.share_at = now_;
-               value < 0.98) { // short of something: the link is at least so much overrun
+    } else if (value < 0.98) { // short of something: the link is at least so much overrun
       server.link.short_of = 1 / std::max(value, 0.05);
       server.link.short_at = now_;
     }
@@ -287,7 +281,6 @@
       }
     }
     if (label != kReview) return;
-    if (!uplinks_told_) judge_racks();
     for (Link &rack : racks_) lower(rack);
     for (Server &server : servers_) {
       if (server.plays == 0) continue;
@@ -412,36 +405,6 @@
     }
   }
 
-  // Uplinks that nothing tells of: demand is what the rack's links carry. When most of a rack's servers with
-  // plays of ours deliver short by the same share, the uplink is what is short, and so much it gives.
-  void judge_racks() {
-    for (int r = 0; r < static_cast<int>(racks_.size()); ++r) {
-      Link &rack = racks_[at(r)];
-      double demand = 0, links = 0, low = 1, high = 0;
-      int with_plays = 0, alike = 0;
-      for (const Server &server : servers_) {
-        if (server.rack != r || !server.known) continue;
-        gather(server.link, false, false);
-        demand += std::min(demand_, server.link.capacity);
-        links += server.link.capacity;
-        if (server.plays > 0) ++with_plays;
-        if (server.plays == 0 || now_ - server.share_at > kShortHolds || server.share >= 0.98) continue;
-        ++alike;
-        low = std::min(low, server.share), high = std::max(high, server.share);
-      }
-      rack.slow_demand += (demand - rack.slow_demand) * std::min(1.0, kReviewEvery / note_delay_);
-      rack.capacity =
-          std::min(links, rack.capacity > 0 ? rack.capacity * (1 + kRegain * kReviewEvery) : links);
-      bool is_short = alike >= 2 && alike * 3 >= with_plays * 2 && high - low < kAlike;
-      if (is_short) {
-        double gives = rack.slow_demand * (low + high) / 2;
-        rack.capacity =
-            rack.capacity < links ? rack.capacity + kLearn * (gives - rack.capacity) : std::min(links, gives);
-      }
-      hear(rack, demand / std::max(rack.capacity, 1.0), now_);
-    }
-  }
-
   // The play of ours on this link whose step earns most for its rate (up) or loses least (down).
   int pick_step(const Link &link, int by) const {
     int best = -1;
@@ -526,7 +489,7 @@
 
   // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
   // own.
-  double gather(const Link &link, bool cautious = true, bool notes = true) {
+  double gather(const Link &link, bool cautious = true) {
     groups_.clear();
     double own = 0, since = 0, plays = 0;
     for (int g = 0; g < static_cast<int>(link.own.size()); ++g) {
@@ -535,7 +498,7 @@
     }
     bool news = now_ - link.told_at < kNewsLife;
     // A link that ran short lately may do so again (another program on and off): the memory fades.
-    double fading = notes && (cautious || now_ - link.short_at < kShortHolds) ? link.short_of : 0;
+    double fading = cautious || now_ - link.short_at < kShortHolds ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
     double told =
         std::max(news ? link.told * link.capacity : untold(link, own, plays), fading * link.capacity);
