--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -374,7 +374,7 @@
   for (const char *fronts : {"2", "250"}) {
     int rung[2];
     for (int busy : {0, 1}) {
-      Scene scene(Given{{"fronts", fronts}}, 8);
+      Scene scene(Given{{"fronts", fronts}, {"link_per_weight", "800"}}, 8);
       int play = 0;
       for (int cell = 0; cell < 7; ++cell) {
         PlayTerms terms = Scene::terms(0);
