Others' demand on an unheard link is a Gamma spread of its own; steps up 2 times as strict

Cause: a guessed use was tested as if it were told, so fronts filled links that they knew nothing of. The guess is now one Gamma demand of shape 20 and one more a play of ours there.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -59,7 +59,7 @@
 constexpr double kShortFrom = 1.1;   // demand over capacity from which plays are stepped down
 constexpr double kStepRest = 5;      // a play is left at its rung so long after a step
 constexpr double kShortFades = 8;    // the memory of a short link fades over so long
-constexpr double kRaise = 2.5;       // how much tighter the test is for a step up
+constexpr double kRaise = 2;         // how much tighter the test is for a step up
 constexpr double kShortHolds = 1.5;  // a note of short delivery holds so long, whatever reports say
 constexpr double kOvershoot = 4; // a link short costs more than one with room: so much more is stepped down
 constexpr int kRaises = 3;       // steps up at most for one piece of news
@@ -71,8 +71,10 @@
 constexpr double kProbeRest = 3;    // between probes of one server
 constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
 constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
-constexpr double kFewPlays = 6;     // own plays on a link that tell as much of others' as the mean does
-constexpr double kPaceOver = 10;    // own set-ups a second are a mean over so long
+constexpr double kGuessShape =
+    20; // Gamma shape of others' demand on a link unheard of, and one more a play of ours
+constexpr double kFewPlays = 6;  // own plays on a link that tell as much of others' as the mean does
+constexpr double kPaceOver = 10; // own set-ups a second are a mean over so long
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -500,8 +502,8 @@
     // A link that ran short lately may do so again (another program on and off): the memory fades.
     double fading = cautious || now_ - link.short_at < kShortHolds ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
-    double told =
-        std::max(news ? link.told * link.capacity : untold(link, own, plays), fading * link.capacity);
+    double guess = news ? 0 : untold(link, plays); // of others' demand
+    double told = std::max(news ? link.told * link.capacity : own + guess, fading * link.capacity);
     if (news) {
       double adders = cautious ? fronts_adding(link) : 1;
       for (const Change &change : link.changes) {
@@ -515,6 +517,7 @@
     }
     told = std::max({told, own - since, 0.0});
     demand_ = told + since;
+    if (guess > 0) groups_.push_back({1, guess, 1 / std::sqrt(kGuessShape + plays)}), told -= guess;
     double middle = group_rate(rungs() / 2);
     if (told > 0) groups_.push_back({told / middle, middle, kVariation});
     return own;
@@ -567,17 +570,17 @@
 
   // Unheard of, a link is held to be used as those heard of lately are, and as far as own plays, which come
   // to so many a link, tell of all fronts'; more own plays than that here speak of more of the others'.
-  double untold(const Link &link, double own, double plays) const {
+  double untold(const Link &link, double plays) const {
     bool rack = is_rack(link);
     const Usual &usual = usual_[rack];
     double all = rack ? rack_capacity_ : link_capacity_;
-    if (all <= 0) return own;
+    if (all <= 0) return 0;
     double heard = usual.weight * std::exp((usual.at - now_) / kNewsLife);
     double weight = held_ / kPlaysALink;
     double use =
         (heard * usual.use + weight * own_in_all_ * fronts_ / all + kUnknownUse) / (heard + weight + 1);
     double expected = held_ * link.capacity / all;
-    return own + (fronts_ - 1) / fronts_ * use * link.capacity * (kFewPlays + plays) / (kFewPlays + expected);
+    return (fronts_ - 1) / fronts_ * use * link.capacity * (kFewPlays + plays) / (kFewPlays + expected);
   }
 
   bool is_rack(const Link &link) const {
