--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -347,6 +347,7 @@
     scene.front->play_starts(play, 0, 0.1);
     scene.at(102);
     scene.front->note_on_play(play, NoteKind::uplink_asked, 0.3);
+    scene.tell(play, 0.1);
     scene.at(103);
     scene.heard.lines.clear();
     for (int i = 0; i < row.set_ups; ++i) scene.ask();
