--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -67,7 +67,7 @@
 constexpr double kWarmProof = 0.3;  // of a link asked by others: a server that carries so much is warm
 constexpr std::size_t kAsked = 2;   // holders asked before a play is placed
 constexpr double kAskWait = 0.02;   // and so long waited for
-constexpr double kStepProbe = 20;   // and to step a play up: one in so long for each play of ours there
+constexpr double kStepProbe = 20;   // between probes of one server to step plays up there
 constexpr double kProbeRest = 3;    // between probes of one server
 constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
 constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
@@ -382,12 +382,11 @@
   // same, so each steps by the chance at which all of them together, each for its share of the use, still
   // pass.
   void raise(Server &server) {
-    // On old news it asks first; before the first news own plays stand for all fronts'.
-    if (server.link.told_at > 0 && now_ - server.link.told_at > kFreshNews) {
-      if (now_ - server.probed_at > kStepProbe / server.plays && pick_step(server.link, 1) >= 0)
-        probe(server);
-      return;
-    }
+    // On old news it asks, where it may; with none to be had it steps once, by what is usual.
+    bool old = now_ - server.link.told_at > kFreshNews;
+    if (old && may_probe_ && now_ - server.probed_at > kStepProbe && pick_step(server.link, 1) >= 0)
+      probe(server);
+    if (old && server.link.told_at > 0) return;
     if (server.link.told_at <= server.raised_at) return;
     server.raised_at = server.link.told_at;
     for (int raised = 0; raised < kRaises; ++raised) {
