--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -143,6 +143,14 @@
     warm_up_ = number("warm_up", 0);
     may_probe_ = text("load_comes_with") != "none" && number("may_probe", 0) > 0;
     note_delay_ = number("note_delay", 1);
+    front_index_ = static_cast<int>(number("front_index", 0));
+    allowed_ = static_cast<int>(number("allocations_per_play", 1));
+    longest_retry_after_ = number("longest_retry_after", 0);
+    fall_span_ = number("fall_span", 1);
+    cold_budget_ = number("fall_multiple", 1) * number("cold_share", 0) * fall_span_ * kColdSafety;
+    further_span_ = number("further_span", 0);
+    further_free_ = number("further_free", 0);
+    further_share_ = number("further_share", 0);
     uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
     products_ = static_cast<int>(number("products", 1));
     for (int p = 0; p < products_; ++p) {
@@ -175,7 +183,7 @@
     }
     for (const ServerEntry &entry : entries) {
       if (entry.server >= static_cast<int>(servers_.size()))
-        servers_.resize(static_cast<std::size_t>(entry.server) + 1);
+        servers_.resize(at(entry.server) + 1), open_.reserve(servers_.size());
       Server &server = servers_[static_cast<std::size_t>(entry.server)];
       if (entry.started > 0 && entry.started > server.entry.started) {
         server.cold_since = std::max(server.cold_since, entry.started);
@@ -303,16 +311,15 @@
     int top = highest(terms);
     bool first = play.allocations == 0;
     if (!first && play.may_have_run && !safe_[at(terms.product)]) return give_up(index);
-    if (play.allocations >= allocations_allowed() || (!first && !may_go_further())) return give_up(index);
+    if (play.allocations >= allowed_ || (!first && !may_go_further())) return give_up(index);
     if (now_ >= play.target_at || play.limit_at - now_ < kLeastSetUp) return give_up(index);
     if (!seat_free(terms)) return give_up(index);
 
-    heed_strikes();
+    find_open(play);
     int best = -1, best_rung = -1;
     double best_room = 0;
     for (int rung = top; rung >= low && best < 0; --rung) {
-      for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
-        if (!open_to(s, play)) continue;
+      for (int s : open_) {
         int group = terms.product * rungs() + rung;
         if (!fits(servers_[at(s)], group, group_rate(group))) continue;
         double room = room_;
@@ -342,9 +349,9 @@
     if (!may_probe_ || play.terms.again) return false; // who comes again has been asked for
     std::array<int, kAsked> best;
     best.fill(-1);
-    heed_strikes();
-    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
-      if (now_ - servers_[at(s)].link.told_at <= kFreshNews || !open_to(s, play)) continue;
+    find_open(play);
+    for (int s : open_) {
+      if (now_ - servers_[at(s)].link.told_at <= kFreshNews) continue;
       int in = s;
       for (int &b : best) {
         if (b < 0 || hash(play.terms, in) > hash(play.terms, b)) std::swap(b, in);
@@ -436,7 +443,7 @@
     if (play.may_have_run && !safe_[at(play.terms.product)]) {
       answers_.fail(index);
     } else {
-      answers_.decline(index, number("longest_retry_after", 0) * (0.5 + 0.5 * chance()));
+      answers_.decline(index, longest_retry_after_ * (0.5 + 0.5 * chance()));
     }
     finish(index);
   }
@@ -624,19 +631,23 @@
 
   // ---- Which servers may be sent to.
   // A symptom that most servers share says more of the front or the network than of them: serve on.
-  void heed_strikes() {
+  void find_open(const Play &play) {
     int listed = 0, avoided = 0;
     for (const Server &server : servers_) {
       listed += server.listed;
       avoided += server.listed && now_ < server.avoid_until;
     }
-    heed_strikes_ = avoided * 3 < listed * 2 || listed < 3;
+    bool heed = avoided * 3 < listed * 2 || listed < 3;
+    open_.clear();
+    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
+      if (open_to(s, play, heed)) open_.push_back(s);
+    }
   }
 
-  bool open_to(int s, const Play &play) const {
+  bool open_to(int s, const Play &play, bool heed) const {
     const Server &server = servers_[at(s)];
     if (!server.listed) return false;
-    if (heed_strikes_ && (now_ < server.avoid_until || (server.strikes > 0 && server.out > 0))) return false;
+    if (heed && (now_ < server.avoid_until || (server.strikes > 0 && server.out > 0))) return false;
     int steps = (server.entry.cell - play.terms.first_cell) % cells_;
     if ((steps < 0 ? steps + cells_ : steps) >= play.terms.cells) return false;
     for (int i = 0; i < std::min(play.allocations, static_cast<int>(play.tried.size())); ++i) {
@@ -659,16 +670,14 @@
     // A front that came back has no memory: any server may be cold to it until it is seen to carry much.
     bool may_be_cold = !handed_over_ && !server.seen_warm && now_ - opened_ < warm_up_;
     if (!known_cold && !may_be_cold) return true;
-    double span = number("fall_span", 1);
-    double budget = number("fall_multiple", 1) * places_of(server) / warm_up_ * number("cold_share", 0) *
-                    span * kColdSafety;
+    double span = fall_span_, budget = cold_budget_ * places_of(server) / warm_up_;
     double quiet = now_ - server.last_sent;
     if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
     if (budget < 1) return false;
     if (!known_cold) return quiet >= span * fronts_ / budget;
     int turns = static_cast<int>(std::ceil(fronts_ / std::floor(budget)));
     double beat = std::floor(now_ / (2 * span));
-    bool ours = std::fmod(beat, turns) == static_cast<int>(number("front_index", 0)) % turns;
+    bool ours = std::fmod(beat, turns) == front_index_ % turns;
     return ours && now_ - beat * 2 * span < span && quiet >= span;
   }
 
@@ -701,26 +710,22 @@
   }
 
   void note_taken() {
-    double span = number("further_span", 0);
-    std::erase_if(taken_at_, [&](double t) { return t <= now_ - span; });
-    if (span > 0) taken_at_.push_back(now_);
+    std::erase_if(taken_at_, [&](double t) { return t <= now_ - further_span_; });
+    if (further_span_ > 0) taken_at_.push_back(now_);
   }
 
   bool may_go_further() {
-    double span = number("further_span", 0);
-    std::erase_if(further_at_, [&](double t) { return t < now_ - span; });
-    auto taken = std::count_if(taken_at_.begin(), taken_at_.end(), [&](double t) { return t > now_ - span; });
-    return span <= 0 ||
-           static_cast<double>(further_at_.size()) + 1 <=
-               number("further_free", 0) + number("further_share", 0) * static_cast<double>(taken);
+    std::erase_if(further_at_, [&](double t) { return t < now_ - further_span_; });
+    auto taken =
+        std::count_if(taken_at_.begin(), taken_at_.end(), [&](double t) { return t > now_ - further_span_; });
+    return further_span_ <= 0 || static_cast<double>(further_at_.size()) + 1 <=
+                                     further_free_ + further_share_ * static_cast<double>(taken);
   }
 
-  int allocations_allowed() const { return static_cast<int>(number("allocations_per_play", 1)); }
-
   // Leaves room for another allocation before the first-frame target, unless this is the last.
   double time_out(const Play &play) const {
     double limit = play.limit_at - now_;
-    if (!safe_[at(play.terms.product)] || play.allocations >= allocations_allowed()) return limit;
+    if (!safe_[at(play.terms.product)] || play.allocations >= allowed_) return limit;
     double target = play.target_at - now_;
     return std::min(limit, std::max(target / 2, std::min(target, 3 * usual_set_up_)));
   }
@@ -793,12 +798,16 @@
   std::vector<double> importance_, earning_;
   std::vector<double> strictness_; // by product and rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
+  double longest_retry_after_ = 0, fall_span_ = 1, cold_budget_ = 0;
+  double further_span_ = 0, further_free_ = 0, further_share_ = 0;
+  int front_index_ = 0, allowed_ = 1;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1;
-  bool heed_strikes_ = true, uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
+  bool uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
+  std::vector<int> open_; // servers that the play in hand may be sent to
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
