--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -321,11 +321,12 @@
     for (int rung = top; rung >= low && best < 0; --rung) {
       for (int s : open_) {
         int group = terms.product * rungs() + rung;
-        if (!fits(servers_[at(s)], group, group_rate(group))) continue;
-        double room = room_;
+        gather(servers_[at(s)].link);
+        double room = servers_[at(s)].link.capacity - demand_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
-        if (roomier) best = s, best_rung = rung, best_room = room;
+        if (roomier && fits(servers_[at(s)], group, group_rate(group)))
+          best = s, best_rung = rung, best_room = room;
       }
     }
     if (best < 0) return give_up(index);
@@ -482,9 +483,8 @@
   // ---- The mechanism: demand on a link and the test.
   // With a part: as if this part of all plays there, whichever front's, did the same.
   bool fits(const Server &server, int group, double rate, double strictness = 1, double part = 0) {
-    if (!passes(server.link, group, rate, strictness, part)) return false;
-    room_ = server.link.capacity - demand_;
-    return passes(racks_[at(server.rack)], group, rate, strictness, part);
+    return passes(server.link, group, rate, strictness, part) &&
+           passes(racks_[at(server.rack)], group, rate, strictness, part);
   }
 
   bool passes(const Link &link, int group, double rate, double strictness = 1, double part = 0) {
@@ -811,7 +811,7 @@
   std::vector<int> seats_held_;
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0, room_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0;
+  double demand_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0;
   std::array<Usual, 2> usual_; // of links, of uplinks
   double pace_ = 0, paced_at_ = 0;
 };
