--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -337,7 +337,7 @@
     play.tried[at(play.allocations) % play.tried.size()] = best;
     ++play.allocations;
     servers_[at(best)].last_sent = now_;
-    pace_ += (1 - pace_ * (now_ - paced_at_)) / kPaceOver, paced_at_ = now_;
+    pace_ = pace_ * std::exp((paced_at_ - now_) / kPaceOver) + 1 / kPaceOver, paced_at_ = now_;
     answers_.set_rung(index, best_rung);
     answers_.allocate(index, best, time_out(play));
     become(index, PlayState::allocating);
