--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -61,20 +61,20 @@
 constexpr double kShortFades = 8;    // the memory of a short link fades over so long
 constexpr double kRaise = 2;         // how much tighter the test is for a step up
 constexpr double kShortHolds = 1.5;  // a note of short delivery holds so long, whatever reports say
-constexpr double kOvershoot = 4; // a link short costs more than one with room: so much more is stepped down
-constexpr int kRaises = 3;       // steps up at most for one piece of news
-constexpr double kLeastPart = 0.06; // a lesser part of all plays does not step up
-constexpr double kWarmProof = 0.3;  // of a link asked by others: a server that carries so much is warm
-constexpr std::size_t kAsked = 2;   // holders asked before a play is placed
-constexpr double kAskWait = 0.02;   // and so long waited for
-constexpr double kStepProbe = 20;   // between probes of one server to step plays up there
-constexpr double kProbeRest = 3;    // between probes of one server
-constexpr double kUnknownUse = 0.6; // of a link, before anything tells of any; weighs as one heard of
-constexpr double kPlaysALink = 4;   // own plays that tell as much of the usual use as one link heard of
-constexpr double kGuessShape =
-    20; // Gamma shape of others' demand on a link unheard of, and one more a play of ours
-constexpr double kFewPlays = 6;  // own plays on a link that tell as much of others' as the mean does
-constexpr double kPaceOver = 10; // own set-ups a second are a mean over so long
+constexpr double kOvershoot = 4;     // a short link costs more than one with room: the odds of a step down
+constexpr int kRaises = 3;           // steps up at most for one piece of news
+constexpr double kLeastPart = 0.06;  // a lesser part of all plays does not step up
+constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
+constexpr std::size_t kAsked = 2;    // holders asked before a play is placed
+constexpr double kAskWait = 0.02;    // and so long waited for
+constexpr double kStepProbe = 20;    // between probes of one server to step plays up there
+constexpr double kProbeRest = 3;     // between probes of one server
+constexpr double kUnknownUse = 0.6;  // of a link, before anything tells of any; weighs as one heard of
+constexpr double kPlaysALink = 4;    // own plays that tell as much of the usual use as one link heard of
+constexpr double kGuessShape = 20;   // Gamma shape of others' guessed demand, and one more a play of ours
+constexpr double kFewPlays = 6;      // own plays on a link that tell as much of others' as the mean does
+constexpr double kPaceOver = 10;     // own set-ups a second are a mean over so long
+constexpr double kForgetAfter = 30;  // a server that left and holds none of our plays is forgotten
 constexpr std::size_t kChangesKept = 64;
 
 enum class PlayState { vacant, asked, allocating, playing, ending };
@@ -115,7 +115,8 @@
   bool listed = false, known = false, seen_warm = false;
   Link link;
   int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
-  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9, raised_at = -2e9;
+  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9;
+  double raised_at = -2e9, listed_at = 0; // the news it last stepped up on; when it was last seen listed
   int strikes = 0;
 };
 
@@ -293,9 +294,14 @@
     if (label != kReview) return;
     for (Link &rack : racks_) lower(rack);
     for (Server &server : servers_) {
-      if (server.plays == 0) continue;
-      lower(server.link);
-      raise(server);
+      if (server.listed) server.listed_at = now_;
+      if (server.plays > 0) {
+        lower(server.link);
+        raise(server);
+      } else if (server.known && now_ - server.listed_at > kForgetAfter) {
+        answers_.forget_server(static_cast<int>(&server - servers_.data()));
+        server = Server{};
+      }
     }
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -307,8 +313,7 @@
   void place(int index) {
     Play &play = plays_[at(index)];
     const PlayTerms &terms = play.terms;
-    int low = lowest(terms.product);
-    int top = highest(terms);
+    int low = lowest(terms.product), top = highest(terms);
     bool first = play.allocations == 0;
     if (!first && play.may_have_run && !safe_[at(terms.product)]) return give_up(index);
     if (play.allocations >= allowed_ || (!first && !may_go_further())) return give_up(index);
@@ -343,8 +348,10 @@
     become(index, PlayState::allocating);
   }
 
-  // Where load is told to probes, a play whose holders are mostly unheard of asks a few of them first: an
-  // answer takes a moment, a bad choice costs the play's whole length. True if the play now waits for them.
+  // Guards against a choice by lot on fleets where a front hears of few servers: where probes carry load, a
+  // first try asks some unheard holders. An answer takes a moment, a bad choice costs the play's whole
+  // length; it could harm where probes are slow or dear. True if the play now waits (the wait ends in
+  // kPlace).
   bool ask_holders(int index) {
     Play &play = plays_[at(index)];
     if (!may_probe_ || play.terms.again) return false; // who comes again has been asked for
@@ -379,23 +386,20 @@
       int group = group_of(plays_[at(play)]);
       double less = group_rate(group) - group_rate(group - 1);
       link.lowered_at = now_;
-      if (chance() * less > kOvershoot * mine)
-        return; // fronts with less than a step to give take it by chance
+      if (chance() * less > kOvershoot * mine) return; // what is less than a step to give goes by chance
       mine -= less;
       step(play, -1);
     }
   }
 
   // Where room lasts, a few plays step up, once for each piece of news. All fronts with plays there hear the
-  // same, so each steps by the chance at which all of them together, each for its share of the use, still
-  // pass.
+  // same, so each steps by the chance at which all plays there together, were they to do so, still pass.
   void raise(Server &server) {
     // On old news it asks, where it may; with none to be had it steps once, by what is usual.
     bool old = now_ - server.link.told_at > kFreshNews;
     if (old && may_probe_ && now_ - server.probed_at > kStepProbe && pick_step(server.link, 1) >= 0)
       probe(server);
-    if (old && server.link.told_at > 0) return;
-    if (server.link.told_at <= server.raised_at) return;
+    if ((old && server.link.told_at > 0) || server.link.told_at <= server.raised_at) return;
     server.raised_at = server.link.told_at;
     for (int raised = 0; raised < kRaises; ++raised) {
       int index = pick_step(server.link, 1);
@@ -495,8 +499,7 @@
            std::log(kTolerance) * strictness_[at(group)] * strictness;
   }
 
-  // Fills groups_ with the demand on a link: what was told, this front's changes since, never less than its
-  // own.
+  // Fills groups_ with the demand on a link: told or guessed, this front's changes since, its own at least.
   double gather(const Link &link, bool cautious = true) {
     groups_.clear();
     double own = 0, since = 0, plays = 0;
--- a/src/decision/policy.h
+++ b/src/decision/policy.h
@@ -63,7 +63,8 @@
   virtual void fail(int play) = 0;
   virtual void move(int play) = 0;
   virtual void recall(int play, int allocation) = 0;
-  virtual void forget(int play) = 0; // the index may be given again
+  virtual void forget(int play) = 0;          // the index may be given again
+  virtual void forget_server(int server) = 0; // likewise
   virtual void probe(int server) = 0;
   virtual void follow_list() = 0;
   virtual void set_timer(double wait, int label) = 0;
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -274,6 +274,24 @@
   return terms;
 }
 
+int Instance::new_play(const WireLine &line, const PlayTerms &terms) {
+  std::uint64_t corr = read_corr(line.text("corr"));
+  if (plays_.find(corr) >= 0) throw WireError("corr " + std::string(line.text("corr")) + " comes twice");
+  int play = plays_.index_of(corr);
+  auto place = static_cast<std::size_t>(play), title = static_cast<std::size_t>(terms.title);
+  if (place >= title_of_.size()) title_of_.resize(place + 1);
+  if (title >= plays_of_.size()) plays_of_.resize(title + 1);
+  title_of_[place] = terms.title;
+  ++plays_of_[title];
+  return play;
+}
+
+void Instance::forget(int play) {
+  int title = title_of_[static_cast<std::size_t>(play)];
+  if (--plays_of_[static_cast<std::size_t>(title)] == 0) titles_.release(title);
+  plays_.release(play);
+}
+
 int Instance::held_play(const WireLine &line) const { return plays_.find(read_corr(line.text("corr"))); }
 
 int Instance::known_server(const WireLine &line) const {
@@ -312,16 +330,12 @@
 void Instance::event(const WireLine &line) {
   std::string_view name = line.name();
   if (name == "ORDER") {
-    std::uint64_t corr = read_corr(line.text("corr"));
     PlayTerms terms = terms_of(line);
-    if (plays_.find(corr) >= 0) throw WireError("corr " + std::string(line.text("corr")) + " comes twice");
-    front_->play_asked(plays_.index_of(corr), terms);
+    front_->play_asked(new_play(line, terms), terms);
   } else if (name == "HANDOVER") {
-    std::uint64_t corr = read_corr(line.text("corr"));
     PlayTerms terms = terms_of(line);
-    if (plays_.find(corr) >= 0) throw WireError("corr " + std::string(line.text("corr")) + " comes twice");
     int server = server_index(line.whole("node"));
-    front_->play_handed_over(plays_.index_of(corr), server, terms);
+    front_->play_handed_over(new_play(line, terms), server, terms);
   } else if (name == "FLOWING") {
     int allocation = line.small("round_no");
     double delay = line.number_if("delay_seen").value_or(0);
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -28,7 +28,8 @@
   void fail(int play) override;
   void move(int play) override;
   void recall(int play, int allocation) override;
-  void forget(int play) override { plays_.release(play); }
+  void forget(int play) override;
+  void forget_server(int server) override { servers_.release(server); }
   void probe(int server) override;
   void follow_list() override;
   void set_timer(double wait, int label) override;
@@ -39,6 +40,7 @@
   void begin(const char *name, int play);
   int product_of(const WireLine &line) const;
   PlayTerms terms_of(const WireLine &line);
+  int new_play(const WireLine &line, const PlayTerms &terms);
   int held_play(const WireLine &line) const;
   int known_server(const WireLine &line) const;
   LoadReport load_of(const WireLine &line) const;
@@ -46,6 +48,7 @@
   std::string number_;
   std::string &out_;
   IdTable<std::uint64_t> plays_, titles_, servers_;
+  std::vector<int> title_of_, plays_of_; // by play; by title, which is let go with its last play
   IdTable<std::string> customers_;
   std::vector<std::string> products_;
   std::unique_ptr<Front> front_;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -62,6 +62,7 @@
   void move(int play) override { put("move " + std::to_string(play)); }
   void recall(int play, int) override { put("recall " + std::to_string(play)); }
   void forget(int play) override { put("forget " + std::to_string(play)); }
+  void forget_server(int s) override { put("server forgotten " + std::to_string(s)); }
   void probe(int s) override { put("probe " + std::to_string(s)); }
   void follow_list() override { put("follow"); }
   void set_timer(double, int label) override { last_label = label; }
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -162,6 +162,27 @@
   }
 }
 
+TEST_CASE("hundreds of servers replaced at once are let go, those with plays of ours last") {
+  Scene scene(Given{{"cells", "300"}, {"link_per_weight", "1000000"}}, 300);
+  PlayTerms terms = Scene::terms(0);
+  terms.first_cell = 7, terms.cells = 1;
+  int play = scene.ask_of(terms);
+  scene.front->play_starts(play, 0, 0.1);
+  std::vector<ServerEntry> others = scene.entries;
+  for (ServerEntry &entry : others) entry.server += 300, entry.number += 5000;
+  scene.at(110);
+  scene.front->list_changed(ListKind::full, others);
+  scene.at(141);
+  scene.front->timer(scene.heard.last_label);
+  CHECK(scene.heard.count("server forgotten") == 299);
+  CHECK(scene.heard.count("server forgotten 7") == 11 - 1); // 70 to 79, not 7
+  scene.front->allocation_ended(play, 0, Outcome::done, true, {});
+  scene.front->timer(scene.heard.last_label);
+  CHECK(scene.heard.count("server forgotten") == 300);
+  scene.ask_of(terms);
+  CHECK(scene.heard.server == 307);
+}
+
 TEST_CASE("a cold server gets no more than its budget from all fronts together") {
   struct Row {
     int fronts;
