A crowd of requests here stands for as many at every front since the news

Cause: a crowd comes to all fronts at once; each sees a few of it and admits them until the next news, 2 to 4 s later. Now requests far over what is usual here (2 s against 20 s) count for every front, spread over links by size, for as long as the news is old. Holders asked by a partial sort; one mean of requests in place of two.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -65,7 +65,7 @@
 constexpr int kRaises = 3;           // steps up at most for one piece of news
 constexpr double kLeastPart = 0.06;  // a lesser part of all plays does not step up
 constexpr double kWarmProof = 0.3;   // of a link asked by others: a server that carries so much is warm
-constexpr std::size_t kAsked = 2;    // holders asked before a play is placed
+constexpr std::ptrdiff_t kAsked = 2; // holders asked before a play is placed
 constexpr double kAskWait = 0.02;    // and so long waited for
 constexpr double kStepProbe = 20;    // between probes of one server to step plays up there
 constexpr double kProbeRest = 3;     // between probes of one server
@@ -73,7 +73,8 @@
 constexpr double kPlaysALink = 4;    // own plays that tell as much of the usual use as one link heard of
 constexpr double kGuessShape = 20;   // Gamma shape of others' guessed demand, and one more a play of ours
 constexpr double kFewPlays = 6;      // own plays on a link that tell as much of others' as the mean does
-constexpr double kPaceOver = 10;     // own set-ups a second are a mean over so long
+constexpr double kRushOver = 2;      // a rush of requests over so long,
+constexpr double kUsualOver = 20;    // against what is usual over so long
 constexpr double kForgetAfter = 30;  // a server that left and holds none of our plays is forgotten
 constexpr std::size_t kChangesKept = 64;
 
@@ -85,7 +86,7 @@
   int server = -1;
   int rung = 0;
   int allocations = 0;
-  double target_at = 0, limit_at = 0, started = 0, stepped_at = -1e9;
+  double target_at = 0, limit_at = 0, started = -1e9, stepped_at = -1e9;
   bool may_have_run = false;
   std::array<int, 8> tried{}; // servers already allocated to
 };
@@ -110,6 +111,12 @@
   double use = 0, weight = 0, at = 0;
 };
 
+struct Pace { // how many a second, as a mean that fades
+  double over, mean = 0, at = 0;
+  double seen(double now) const { return mean * std::exp((at - now) / over); }
+  void count(double now) { mean = seen(now) + 1 / over, at = now; }
+};
+
 struct Server {
   ServerEntry entry;
   bool listed = false, known = false, seen_warm = false;
@@ -185,7 +192,7 @@
     for (const ServerEntry &entry : entries) {
       if (entry.server >= static_cast<int>(servers_.size()))
         servers_.resize(at(entry.server) + 1), open_.reserve(servers_.size());
-      Server &server = servers_[static_cast<std::size_t>(entry.server)];
+      Server &server = servers_[at(entry.server)];
       if (entry.started > 0 && entry.started > server.entry.started) {
         server.cold_since = std::max(server.cold_since, entry.started);
         if (server.known) server.strikes = 0, server.avoid_until = now_;
@@ -208,7 +215,9 @@
     Play &play = take(index, terms);
     play.limit_at = now_ + terms.time_left.value_or(limits_[at(terms.product)]);
     play.target_at = now_ + std::min(targets_[at(terms.product)], play.limit_at - now_);
-    note_taken();
+    std::erase_if(taken_at_, [&](double t) { return t <= now_ - further_span_; });
+    if (further_span_ > 0) taken_at_.push_back(now_);
+    for (Pace *pace : {&rush_, &usual_rush_}) pace->count(now_);
     become(index, PlayState::asked);
     if (!ask_holders(index)) place(index);
   }
@@ -220,7 +229,6 @@
     play.server = server;
     play.rung = lowest(terms.product);
     play.allocations = 1;
-    play.started = -1e9;
     handed_over_ = true;
     become(index, PlayState::playing);
   }
@@ -342,7 +350,6 @@
     play.tried[at(play.allocations) % play.tried.size()] = best;
     ++play.allocations;
     servers_[at(best)].last_sent = now_;
-    pace_ = pace_ * std::exp((paced_at_ - now_) / kPaceOver) + 1 / kPaceOver, paced_at_ = now_;
     answers_.set_rung(index, best_rung);
     answers_.allocate(index, best, time_out(play));
     become(index, PlayState::allocating);
@@ -355,21 +362,13 @@
   bool ask_holders(int index) {
     Play &play = plays_[at(index)];
     if (!may_probe_ || play.terms.again) return false; // who comes again has been asked for
-    std::array<int, kAsked> best;
-    best.fill(-1);
     find_open(play);
-    for (int s : open_) {
-      if (now_ - servers_[at(s)].link.told_at <= kFreshNews) continue;
-      int in = s;
-      for (int &b : best) {
-        if (b < 0 || hash(play.terms, in) > hash(play.terms, b)) std::swap(b, in);
-        if (in < 0) break;
-      }
-    }
-    if (best[0] < 0) return false;
-    for (int s : best) {
-      if (s >= 0) probe(servers_[at(s)]);
-    }
+    std::erase_if(open_, [&](int s) { return now_ - servers_[at(s)].link.told_at <= kFreshNews; });
+    if (open_.empty()) return false;
+    auto asked = open_.begin() + std::min(kAsked, static_cast<std::ptrdiff_t>(open_.size()));
+    auto first = [&](int a, int b) { return hash(play.terms, a) > hash(play.terms, b); };
+    std::partial_sort(open_.begin(), asked, open_.end(), first);
+    for (auto s = open_.begin(); s != asked; ++s) probe(servers_[at(*s)]);
     answers_.set_timer(kAskWait, kPlace);
     return true;
   }
@@ -472,9 +471,7 @@
           (next == PlayState::allocating) - (play.state == PlayState::allocating);
     play.state = next;
   }
-  static bool holds(PlayState state) {
-    return state == PlayState::allocating || state == PlayState::playing || state == PlayState::ending;
-  }
+  static bool holds(PlayState state) { return state >= PlayState::allocating; }
 
   void step_to(int index, int rung) {
     Play &play = plays_[at(index)];
@@ -524,19 +521,29 @@
         }
       }
     }
-    told = std::max({told, own - since, 0.0});
+    told = std::max({told, own - since, 0.0}) + (news && cautious ? crowding(link) : 0);
     demand_ = told + since;
     if (guess > 0) groups_.push_back({1, guess, 1 / std::sqrt(kGuessShape + plays)}), told -= guess;
-    double middle = group_rate(rungs() / 2);
-    if (told > 0) groups_.push_back({told / middle, middle, kVariation});
+    if (double middle = group_rate(rungs() / 2); told > 0)
+      groups_.push_back({told / middle, middle, kVariation});
     return own;
   }
 
+  // Guards against a crowd that all fronts admit blindly until the next news: far more requests than usual
+  // here speak of as many at every front. It could harm where a crowd comes to one front alone.
+  double crowding(const Link &link) const {
+    double surge = rush_.seen(now_) - 2 * usual_rush_.seen(now_) - 1 / rush_.over;
+    double all = is_rack(link) ? rack_capacity_ : link_capacity_;
+    if (surge <= 0 || all <= 0 || held_ <= 0) return 0;
+    double age = std::clamp(now_ - link.told_at, 0.0, kFreshNews);
+    return surge * (fronts_ - 1) * age * link.capacity / all * own_in_all_ / held_;
+  }
+
   // Fronts that add alike after the same news of a told uplink: own set-ups speak for the others' as far as
   // this front sets up often enough between two pieces of news for them to be more than chance.
   double fronts_adding(const Link &link) const {
     if (!uplinks_told_ || !is_rack(link)) return 1;
-    double usual = pace_ * (now_ - link.told_at) / static_cast<double>(racks_.size());
+    double usual = usual_rush_.seen(now_) * (now_ - link.told_at) / static_cast<double>(racks_.size());
     return 1 + (fronts_ - 1) * usual / (usual + 1);
   }
 
@@ -712,11 +719,6 @@
     return seats_held_[place];
   }
 
-  void note_taken() {
-    std::erase_if(taken_at_, [&](double t) { return t <= now_ - further_span_; });
-    if (further_span_ > 0) taken_at_.push_back(now_);
-  }
-
   bool may_go_further() {
     std::erase_if(further_at_, [&](double t) { return t < now_ - further_span_; });
     auto taken =
@@ -816,7 +818,7 @@
   std::vector<RateGroup> groups_;
   double demand_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0;
   std::array<Usual, 2> usual_; // of links, of uplinks
-  double pace_ = 0, paced_at_ = 0;
+  Pace rush_{kRushOver}, usual_rush_{kUsualOver};
 };
 
 } // namespace
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -438,6 +438,29 @@
   }
 }
 
+TEST_CASE("a crowd of requests here stands for as many at every front; a steady stream does not") {
+  int rung[2];
+  for (int crowd : {0, 1}) {
+    Scene scene(Given{{"fronts", "200"}, {"cells", "40"}}, 40);
+    PlayTerms terms = Scene::terms(0);
+    terms.cells = 1;
+    int play = scene.ask_of(terms);
+    scene.front->play_starts(play, 0, 0.1);
+    PlayTerms elsewhere = terms;
+    elsewhere.first_cell = 20, elsewhere.cells = 20;
+    for (int i = 0; i < 10; ++i) { // as many requests, in 20 s or in half a second
+      scene.at(crowd ? 121 + 0.05 * i : 102 + 2 * i);
+      scene.ask_of(elsewhere);
+    }
+    scene.at(121.6);
+    scene.tell(play, 0.2);
+    scene.at(123);
+    scene.ask_of(terms);
+    rung[crowd] = scene.heard.rung;
+  }
+  CHECK(rung[1] < rung[0]);
+}
+
 TEST_CASE("steps on the same news: with hundreds of fronts together neither too many nor none") {
   struct Row {
     double told;
