--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -505,8 +505,10 @@
       plays += link.own[at(g)];
     }
     bool news = now_ - link.told_at < kNewsLife;
-    // A link that ran short lately may do so again (another program on and off): the memory fades.
-    double fading = cautious || now_ - link.short_at < kShortHolds ? link.short_of : 0;
+    // A link that ran short lately may do so again (another program on and off): the memory fades. Of an
+    // uplink the news is enough.
+    bool holds_on = !is_rack(link) && (cautious || now_ - link.short_at < kShortHolds);
+    double fading = holds_on ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
     double guess = news ? 0 : untold(link, plays); // of others' demand
     double told = std::max(news ? link.told * link.capacity : own + guess, fading * link.capacity);
