--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -505,8 +505,7 @@
       plays += link.own[at(g)];
     }
     bool news = now_ - link.told_at < kNewsLife;
-    // A link that ran short lately may do so again (another program on and off): the memory fades. Of an
-    // uplink the news is enough.
+    // A link that ran short may soon again (another program on and off): a fading memory; not of an uplink.
     bool holds_on = !is_rack(link) && (cautious || now_ - link.short_at < kShortHolds);
     double fading = holds_on ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
@@ -807,9 +806,8 @@
   std::vector<bool> safe_;
   double longest_retry_after_ = 0, fall_span_ = 1, cold_budget_ = 0;
   double further_span_ = 0, further_free_ = 0, further_share_ = 0;
-  int front_index_ = 0, allowed_ = 1;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
-  int cells_ = 1, products_ = 1;
+  int cells_ = 1, products_ = 1, allowed_ = 1, front_index_ = 0;
   bool uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   std::vector<Server> servers_;
   std::vector<Link> racks_;
