--- /dev/null
+++ b/cmake/program_tests.cmake
@@ -0,0 +1,3 @@
+add_executable(snowshore_program_tests tests/test_main.cpp tests/records/test_records.cpp)
+target_link_libraries(snowshore_program_tests PRIVATE snowshore_records Catch2::Catch2)
+add_test(NAME snowshore_program_tests COMMAND snowshore_program_tests)
