HTTP/1.1 on Asio, CMCD and CMSD hints, structured log and metrics

Need: the front speaks HTTP to players and servers; each limit and each way a request can end must be told apart for what it proves. Change: src/http (server with limits on header, body, connections, times; client with bounded kept connections, a late answer told apart), src/hints (RFC 8941 members, CMCD read leniently key by key, CMSD load), src/telemetry (spdlog JSON lines, prometheus-cpp). Found by the tests: http-parser takes 1 from on_headers_complete as 'skip the body', so an over-long body passed; accept tells EMFILE also with an empty backlog, so making room on each fault cut the connection just taken.

--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,275 @@
+#include "http/message.h"
+
+#include <algorithm>
+#include <climits>
+
+namespace snowshore::http {
+
+namespace {
+
+bool same_name(std::string_view a, std::string_view b) {
+  return std::ranges::equal(a, b, [](unsigned char x, unsigned char y) {
+    auto low = [](unsigned char c) { return c >= 'A' && c <= 'Z' ? c + 32 : c; };
+    return low(x) == low(y);
+  });
+}
+
+void append_header(std::string &out, const Header &header) {
+  auto safe = [&](std::string_view text) {
+    for (unsigned char c : text) out += c < 0x20 || c == 0x7f ? '?' : static_cast<char>(c);
+  };
+  safe(header.name);
+  out += ": ";
+  safe(header.value);
+  out += "\r\n";
+}
+
+void append_status(std::string &out, const Response &response) {
+  out += "HTTP/1.1 " + std::to_string(response.status) + " " + reason_of(response.status) + "\r\n";
+  for (const Header &header : response.headers.all) append_header(out, header);
+}
+
+int hex(char c) {
+  return c >= '0' && c <= '9'   ? c - '0'
+         : c >= 'a' && c <= 'f' ? c - 'a' + 10
+         : c >= 'A' && c <= 'F' ? c - 'A' + 10
+                                : -1;
+}
+
+} // namespace
+
+std::optional<std::string> Headers::find(std::string_view name) const {
+  std::optional<std::string> found;
+  for (const Header &header : all) {
+    if (!same_name(header.name, name)) continue;
+    found = found ? *found + ", " + header.value : header.value;
+  }
+  return found;
+}
+
+std::optional<std::string> Request::query_value(std::string_view name) const {
+  std::string_view rest = query;
+  while (!rest.empty()) {
+    std::size_t end = rest.find('&');
+    std::string_view pair = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) != name) continue;
+    return decode(equals == std::string_view::npos ? "" : pair.substr(equals + 1), true);
+  }
+  return std::nullopt;
+}
+
+std::string encode(std::string_view text) {
+  std::string out;
+  for (unsigned char c : text) {
+    bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+                 c == '_' || c == '.' || c == '~';
+    if (plain) {
+      out += static_cast<char>(c);
+    } else {
+      out += '%', out += "0123456789ABCDEF"[c >> 4], out += "0123456789ABCDEF"[c & 15];
+    }
+  }
+  return out;
+}
+
+std::optional<std::string> decode(std::string_view text, bool plus_is_space) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '+' && plus_is_space) {
+      out += ' ';
+    } else if (text[i] != '%') {
+      out += text[i];
+    } else {
+      int high = i + 2 < text.size() ? hex(text[i + 1]) : -1;
+      int low = i + 2 < text.size() ? hex(text[i + 2]) : -1;
+      if (high < 0 || low < 0) return std::nullopt;
+      out += static_cast<char>(high << 4 | low);
+      i += 2;
+    }
+  }
+  return out;
+}
+
+const char *reason_of(int status) {
+  switch (status) {
+#define SNOWSHORE_REASON(number, name, text)                                                                 \
+  case number:                                                                                               \
+    return #text;
+    HTTP_STATUS_MAP(SNOWSHORE_REASON)
+#undef SNOWSHORE_REASON
+  default:
+    return "Unknown";
+  }
+}
+
+std::string write_request(const Request &request, std::string_view host) {
+  std::string out = request.method + " " + request.target + " HTTP/1.1\r\n";
+  append_header(out, {"Host", std::string(host)});
+  for (const Header &header : request.headers.all) append_header(out, header);
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+    append_header(out, {"Content-Length", std::to_string(request.body.size())});
+  return out + "\r\n" + request.body;
+}
+
+std::string write_response(const Response &response, bool keep_alive) {
+  std::string out;
+  append_status(out, response);
+  if (response.status != 204 && response.status >= 200)
+    append_header(out, {"Content-Length", std::to_string(response.body.size())});
+  if (!keep_alive) append_header(out, {"Connection", "close"});
+  return out + "\r\n" + response.body;
+}
+
+std::string write_stream_head(const Response &response) {
+  std::string out;
+  append_status(out, response);
+  return out + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string write_chunk(std::string_view data) {
+  std::string out;
+  for (std::size_t size = data.size(); size > 0; size >>= 4)
+    out.insert(out.begin(), "0123456789abcdef"[size & 15]);
+  if (out.empty()) out = "0";
+  out += "\r\n";
+  out += data;
+  return out + "\r\n";
+}
+
+MessageReader::MessageReader(Kind kind, ReadLimits limits) : kind_(kind), limits_(limits) {
+  http_parser_init(&parser_, kind == Kind::request ? HTTP_REQUEST : HTTP_RESPONSE);
+  parser_.data = this;
+  request.target.clear();
+}
+
+void MessageReader::next() {
+  header_bytes_ = body_bytes_ = 0;
+  begun_ = headers_done_ = complete_ = in_value_ = false;
+  request = {}, response = {};
+  request.target.clear();
+  http_parser_pause(&parser_, 0);
+}
+
+int MessageReader::fail(int status, std::string why) {
+  if (!failure_status_) failure_status_ = status, failure_ = std::move(why);
+  return -1; // 1 would only skip the body
+}
+
+bool MessageReader::count(std::size_t size) {
+  header_bytes_ += size;
+  return header_bytes_ <= limits_.header_bytes;
+}
+
+int MessageReader::url(http_parser *p, const char *at, std::size_t size) {
+  auto &self = *static_cast<MessageReader *>(p->data);
+  if (!self.count(size)) return self.fail(414, "the target is longer than the limit");
+  self.request.target.append(at, size);
+  return 0;
+}
+
+int MessageReader::field(http_parser *p, const char *at, std::size_t size) {
+  auto &self = *static_cast<MessageReader *>(p->data);
+  Headers &headers = self.kind_ == Kind::request ? self.request.headers : self.response.headers;
+  if (!self.count(size)) return self.fail(431, "the header is longer than the limit");
+  if (self.in_value_ || headers.all.empty()) headers.all.push_back({});
+  self.in_value_ = false;
+  headers.all.back().name.append(at, size);
+  return 0;
+}
+
+int MessageReader::value(http_parser *p, const char *at, std::size_t size) {
+  auto &self = *static_cast<MessageReader *>(p->data);
+  Headers &headers = self.kind_ == Kind::request ? self.request.headers : self.response.headers;
+  if (!self.count(size + 4)) return self.fail(431, "the header is longer than the limit");
+  self.in_value_ = true;
+  headers.all.back().value.append(at, size);
+  return 0;
+}
+
+int MessageReader::headers(http_parser *p) {
+  auto &self = *static_cast<MessageReader *>(p->data);
+  self.headers_done_ = true;
+  if (self.kind_ == Kind::request) {
+    self.request.method = http_method_str(static_cast<http_method>(p->method));
+    std::size_t mark = self.request.target.find('?');
+    auto path = decode(std::string_view(self.request.target).substr(0, mark));
+    if (!path) return self.fail(400, "a bad escape in the path");
+    self.request.path = *path;
+    if (mark != std::string::npos) self.request.query = self.request.target.substr(mark + 1);
+    if (p->content_length != ULLONG_MAX && p->content_length > self.limits_.body_bytes)
+      return self.fail(413, "the body is longer than the limit");
+    if (p->upgrade) return self.fail(501, "no other protocol is served");
+  } else {
+    self.response.status = p->status_code;
+  }
+  if (self.on_headers && p->status_code / 100 != 1) self.on_headers();
+  return 0;
+}
+
+int MessageReader::body(http_parser *p, const char *at, std::size_t size) {
+  auto &self = *static_cast<MessageReader *>(p->data);
+  if (self.on_body) {
+    self.on_body({at, size});
+    return 0;
+  }
+  self.body_bytes_ += size;
+  if (self.body_bytes_ > self.limits_.body_bytes) return self.fail(413, "the body is longer than the limit");
+  (self.kind_ == Kind::request ? self.request.body : self.response.body).append(at, size);
+  return 0;
+}
+
+int MessageReader::complete(http_parser *p) {
+  auto &self = *static_cast<MessageReader *>(p->data);
+  if (self.kind_ == Kind::response && p->status_code / 100 == 1) { // an interim answer is passed over
+    self.response = {}, self.headers_done_ = self.in_value_ = false;
+    return 0;
+  }
+  self.complete_ = true;
+  self.keep_alive_ = http_should_keep_alive(p) != 0;
+  http_parser_pause(p, 1);
+  return 0;
+}
+
+MessageReader::Progress MessageReader::feed(std::string_view bytes, std::size_t &taken) {
+  static const http_parser_settings kCalls = [] {
+    http_parser_settings calls;
+    http_parser_settings_init(&calls);
+    calls.on_url = url, calls.on_header_field = field, calls.on_header_value = value;
+    calls.on_headers_complete = headers, calls.on_body = body, calls.on_message_complete = complete;
+    return calls;
+  }();
+  taken = 0;
+  if (failure_status_) return Progress::failed;
+  if (bytes.empty()) return Progress::needs_more;
+  // Empty lines before a request are passed over (RFC 9112 2.2) and begin none.
+  if (!begun_ && bytes.find_first_not_of("\r\n") != std::string_view::npos) begun_ = true;
+  taken = http_parser_execute(&parser_, &kCalls, bytes.data(), bytes.size());
+  if (complete_) return Progress::complete;
+  http_errno error = HTTP_PARSER_ERRNO(&parser_);
+  if (error == HPE_OK) return Progress::needs_more;
+  fail(error == HPE_HEADER_OVERFLOW ? 431 : 400, http_errno_description(error));
+  return Progress::failed;
+}
+
+MessageReader::Progress MessageReader::end() {
+  if (failure_status_) return Progress::failed;
+  std::size_t unused = 0;
+  if (!begun_) return Progress::needs_more;
+  if (headers_done_ && kind_ == Kind::response && http_body_is_final(&parser_) == 0) {
+    http_parser_settings calls;
+    http_parser_settings_init(&calls);
+    calls.on_message_complete = complete;
+    unused = http_parser_execute(&parser_, &calls, nullptr, 0);
+    (void)unused;
+    if (complete_) {
+      keep_alive_ = false;
+      return Progress::complete;
+    }
+  }
+  fail(400, "the connection closed within a message");
+  return Progress::failed;
+}
+
+} // namespace snowshore::http
--- /dev/null
+++ b/src/telemetry/log.cpp
@@ -0,0 +1,55 @@
+#include "telemetry/log.h"
+
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <stdexcept>
+
+namespace snowshore::telemetry {
+
+namespace {
+constexpr const char *kNames[] = {"debug", "info", "warning", "error"};
+}
+
+Log::Log(const std::string &where, Level level) : level_(level) {
+  try {
+    std::shared_ptr<spdlog::sinks::sink> sink;
+    if (where == "-") {
+      sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+    } else {
+      sink = std::make_shared<spdlog::sinks::basic_file_sink_st>(where);
+    }
+    logger_ = std::make_shared<spdlog::logger>("snowshore", sink);
+  } catch (const spdlog::spdlog_ex &error) {
+    throw std::runtime_error("cannot write the log to " + where + ": " + error.what());
+  }
+  logger_->set_pattern("%v");
+  logger_->set_level(spdlog::level::trace);
+  logger_->flush_on(spdlog::level::trace);
+}
+
+Log::~Log() = default;
+
+void Log::event(Level level, const char *event, Parts parts) {
+  if (!writes(level)) return;
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  nlohmann::ordered_json line;
+  line["time"] =
+      static_cast<double>(std::chrono::duration_cast<std::chrono::microseconds>(now).count()) / 1e6;
+  line["level"] = kNames[static_cast<int>(level)];
+  line["event"] = event;
+  for (const auto &[name, value] : parts) line[name] = value;
+  // What is no UTF-8 (a title, a header) is replaced: a bad name never loses a line.
+  logger_->info(line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+Level level_of(const std::string &name) {
+  for (int i = 0; i < 4; ++i) {
+    if (name == kNames[i]) return static_cast<Level>(i);
+  }
+  throw std::invalid_argument("no log level '" + name + "'");
+}
+
+} // namespace snowshore::telemetry
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -1,7 +1,7 @@
 // The adapter: hosts one decision module per instance and speaks the simulator's wire. It decides nothing.
 #pragma once
-#include "decision/policy.h"
 #include "decision/id_table.h"
+#include "decision/policy.h"
 #include "wirehost/wire_codec.h"
 
 #include <array>
--- /dev/null
+++ b/tests/hints/test_hints.cpp
@@ -0,0 +1,55 @@
+#include "hints/hints.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowshore::hints;
+
+TEST_CASE("CMCD: what is malformed or unknown is passed over key by key and counted") {
+  struct Row {
+    const char *text;
+    int malformed, unknown;
+    std::optional<double> top;
+    std::optional<std::string> session;
+  };
+  for (const Row &row :
+       {Row{"sid=\"a-1\",tb=6000,su", 0, 0, 6000, "a-1"}, Row{"", 0, 0, {}, {}},
+        Row{"tb=x,sid=\"a\"", 1, 0, {}, "a"}, Row{"tb=-5", 1, 0, {}, {}},
+        Row{"tb=6000,sid=\"no end", 1, 0, 6000, {}}, Row{"=,=,tb=1", 2, 0, 1, {}},
+        Row{"com.other-x=3,tb=7,mtp=99999999999999999999", 1, 1, 7, {}},
+        Row{"sid=\"one, two\",tb=2", 0, 0, 2, "one, two"}, Row{"tb=1,tb=2", 0, 0, 2, {}},
+        Row{"tb=1,", 1, 0, 1, {}}, Row{"nor=\"..%2f3.mp4\",br=3200,bl=20,sid=tok", 0, 0, {}, "tok"},
+        Row{"sid=5,su=\"yes\"", 2, 0, {}, {}}, Row{"\x01\xff", 1, 0, {}, {}}}) {
+    CAPTURE(row.text);
+    Cmcd hints;
+    read_cmcd(row.text, hints);
+    CHECK(hints.malformed == row.malformed);
+    CHECK(hints.unknown == row.unknown);
+    CHECK(hints.top_kbps == row.top);
+    CHECK(hints.session == row.session);
+  }
+  Cmcd hints;
+  for (const char *part : {"tb=100", "sid=\"s\",sf=d", "st=v,su"}) read_cmcd(part, hints);
+  Cmcd back;
+  read_cmcd(write_cmcd(hints), back);
+  CHECK(back.startup);
+  CHECK(back.streaming_format == "d");
+  CHECK(back.session == "s");
+  std::string flood;
+  for (int i = 0; i < 100000; ++i) flood += "k" + std::to_string(i) + ",";
+  Cmcd many;
+  read_cmcd(flood, many);
+  CHECK(many.unknown + many.malformed >= 100000);
+}
+
+TEST_CASE("CMSD: load of the nearest server, round trip, nonsense passed over") {
+  CmsdLoad load;
+  load.link = 0.7254, load.streams = 12, load.duress = true;
+  CmsdLoad back = read_cmsd("\"far\";com.snowshore-link=9, " + write_cmsd("near \"1\"\r\n", load));
+  CHECK(back.link == 0.725);
+  CHECK(back.streams == 12);
+  CHECK(back.duress);
+  CHECK(!back.uplink);
+  CHECK(read_cmsd("\"s\";com.snowshore-link=full;com.snowshore-uplink=-1").malformed == 2);
+  CHECK(read_cmsd("\"s\";com.snowshore-link=0.5;;").malformed == 1);
+  CHECK(!read_cmsd("(").link);
+}
