--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -133,3 +133,162 @@
   before.say("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
   bool served = run_until(echo.io, [&] { return before.closed || before.count("200 OK") == 1; });
   setrlimit(RLIMIT_NOFILE, &was);
+  CHECK(faults > 0);
+  CHECK(served);
+  waiting.say("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(run_until(echo.io, [&] { return waiting.count("200 OK") == 1; }));
+}
+
+TEST_CASE("a peer that closes before its answer has left; a stream's reader that stops is cut") {
+  ServerLimits limits;
+  limits.stream_bytes = 64 << 10;
+  Echo echo(limits);
+  {
+    RawPeer peer(echo.io, echo.server.local());
+    peer.say("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(run_until(echo.io, [&] { return echo.held.size() == 1; }));
+    peer.socket.close();
+    run_until(echo.io, [&] { return echo.gone == 1 && peer.closed; });
+  }
+  CHECK(echo.gone == 1);
+  asio::ip::tcp::socket reader(echo.io);
+  reader.connect(echo.server.local());
+  asio::write(reader, asio::buffer(std::string("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n")));
+  REQUIRE(run_until(echo.io, [&] { return echo.held.size() == 2; }));
+  bool open = true;
+  for (int i = 0; i < 2000 && open; ++i) {
+    open = echo.held[1]->write(std::string(8192, 'z'));
+    echo.io.poll();
+    echo.io.restart();
+  }
+  CHECK(!open);
+  CHECK(echo.gone == 2);
+  CHECK(echo.server.counters().stream_cut == 1);
+}
+
+TEST_CASE("draining answers what is in hand and closes the rest") {
+  Echo echo;
+  RawPeer idle(echo.io, echo.server.local()), busy(echo.io, echo.server.local());
+  idle.say("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  busy.say("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(run_until(echo.io, [&] { return !echo.held.empty() && idle.count("200") == 1; }));
+  bool drained = false;
+  echo.server.drain([&] { drained = true; });
+  REQUIRE(run_until(echo.io, [&] { return idle.closed; }));
+  CHECK(!drained);
+  echo.held[0]->answer({});
+  REQUIRE(run_until(echo.io, [&] { return drained; }));
+  CHECK(run_until(echo.io, [&] { return busy.count("200 OK") == 1; }));
+}
+
+TEST_CASE("no name or title splits an answer or a request") {
+  Response response;
+  response.headers.add("Location", "/a\r\nSet-Cookie: b=1\r\n\r\n<html>");
+  std::string text = write_response(response, true);
+  CHECK(text.find("\r\nSet-Cookie") == std::string::npos);
+  CHECK(encode("a b/\r\n?%") == "a%20b%2F%0D%0A%3F%25");
+  CHECK(decode("a%20b%2F%0d%0A") == std::string("a b/\r\n"));
+  CHECK(!decode("%4"));
+  CHECK(!decode("%g0"));
+}
+
+TEST_CASE("a late answer is told apart and never taken for the next request's") {
+  asio::io_context io;
+  RawServer server(io);
+  ClientLimits limits;
+  limits.late_time = 2;
+  Client client(io, limits);
+  std::vector<Ending> endings;
+  std::vector<std::string> late, bodies;
+  auto ask = [&](double time_out) {
+    client.send(
+        server.acceptor.local_endpoint(), get("/x"), time_out,
+        [&](const Result &r) { endings.push_back(r.ending), bodies.push_back(r.response.body); },
+        [&](const Response &r) { late.push_back(r.body); });
+  };
+  ask(0.1);
+  REQUIRE(run_until(io, [&] { return endings.size() == 1; }));
+  CHECK(endings[0] == Ending::timed_out);
+  ask(2);
+  REQUIRE(run_until(io, [&] { return server.links.size() == 2 && !server.links[1]->heard.empty(); }));
+  RawServer::say(*server.links[0], "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+  REQUIRE(run_until(io, [&] { return late.size() == 1; }));
+  CHECK(endings.size() == 1);
+  RawServer::say(*server.links[1], "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+  REQUIRE(run_until(io, [&] { return endings.size() == 2; }));
+  CHECK(bodies[1] == "new");
+  CHECK(late[0] == "old");
+  ask(2); // both connections are free again
+  REQUIRE(run_until(io, [&] { return client.counters().reused == 1; }));
+}
+
+TEST_CASE("each way a request can end is told for what it proves") {
+  struct Row {
+    const char *says; // nullptr: nothing; "close", "reset"
+    Ending ending;
+  };
+  for (Row row :
+       {Row{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Ending::answered},
+        Row{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", Ending::answered},
+        Row{"garbage\r\n\r\n", Ending::malformed}, Row{"close", Ending::reset}, Row{"reset", Ending::reset},
+        Row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", Ending::timed_out},
+        Row{nullptr, Ending::timed_out}}) {
+    CAPTURE(row.says ? row.says : "nothing");
+    asio::io_context io;
+    RawServer server(io);
+    server.on_data = [&](RawServer::Link &link) {
+      if (!row.says) return;
+      std::string says = row.says;
+      if (says == "reset") link.socket.set_option(asio::socket_base::linger(true, 0));
+      if (says == "reset" || says == "close") return link.socket.close();
+      RawServer::say(link, says);
+    };
+    Client client(io, {});
+    std::vector<Ending> endings;
+    client.send(server.acceptor.local_endpoint(), get("/"), 0.3,
+                [&](const Result &r) { endings.push_back(r.ending); });
+    REQUIRE(run_until(io, [&] { return !endings.empty(); }));
+    run_for(io, 0.05);
+    REQUIRE(endings.size() == 1);
+    CHECK(endings[0] == row.ending);
+  }
+  asio::io_context io;
+  Client client(io, {});
+  Endpoint nobody;
+  {
+    asio::ip::tcp::acceptor gone(io, loopback());
+    nobody = gone.local_endpoint();
+  }
+  int unreachable = 0;
+  client.send(nobody, get("/"), 1, [&](const Result &r) { unreachable += r.ending == Ending::unreachable; });
+  CHECK(unreachable == 0); // never during send()
+  CHECK(run_until(io, [&] { return unreachable == 1; }));
+}
+
+TEST_CASE("connections are bounded in number, cancel closes, a stream hands its data on") {
+  Echo echo;
+  ClientLimits limits;
+  limits.per_server = 2;
+  Client client(echo.io, limits);
+  std::vector<Ending> endings;
+  auto note = [&](const Result &r) { endings.push_back(r.ending); };
+  auto first = client.send(echo.server.local(), get("/hold"), 5, note);
+  client.send(echo.server.local(), get("/hold"), 5, note);
+  client.send(echo.server.local(), get("/hold"), 5, note);
+  REQUIRE(run_until(echo.io, [&] { return endings.size() == 1 && echo.held.size() == 2; }));
+  CHECK(endings[0] == Ending::no_room);
+  CHECK(client.cancel(first));
+  CHECK(!client.cancel(first));
+  CHECK(run_until(echo.io, [&] { return echo.gone == 1; }));
+  std::string data;
+  int heads = 0;
+  client.stream(
+      echo.server.local(), get("/stream"), 1, [&](const Response &) { ++heads; },
+      [&](std::string_view part) { data += part; }, note);
+  REQUIRE(run_until(echo.io, [&] { return echo.held.size() == 3 && heads == 1; }));
+  echo.held[2]->write("one\n");
+  echo.held[2]->write("two\n");
+  CHECK(run_until(echo.io, [&] { return data == "one\ntwo\n"; }));
+  echo.held[2]->end_stream();
+  CHECK(run_until(echo.io, [&] { return endings.size() == 2; }));
+}
