The front on sockets: players' requests to the module, its answers to servers

Need: operators want the program that acts on the module's decisions. Change: src/edge (play states with one place of change, one place for each call of policy.h and each of Answers), src/serverwire (set-up, rung, end, probe, report stream), src/site (the front's record, values for the module by name), names of the module's values shared with the adapter, snowshore edge, check, version.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -27,3 +27,17 @@
 add_library(snowshore_telemetry STATIC src/telemetry/log.cpp src/telemetry/metrics.cpp)
 target_include_directories(snowshore_telemetry PUBLIC src)
 target_link_libraries(snowshore_telemetry PUBLIC nlohmann_json::nlohmann_json prometheus-cpp::core PRIVATE spdlog::spdlog)
+
+add_library(snowshore_serverwire STATIC src/serverwire/protocol.cpp)
+target_link_libraries(snowshore_serverwire PUBLIC snowshore_http PRIVATE nlohmann_json::nlohmann_json)
+
+add_library(snowshore_site STATIC src/site/front_record.cpp)
+target_link_libraries(snowshore_site PUBLIC snowshore_decision snowshore_records snowshore_http)
+
+add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
+            src/edge/plays.cpp src/edge/edge.cpp src/edge/run.cpp)
+target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
+
+add_executable(snowshore src/cli/snowshore.cpp)
+target_compile_definitions(snowshore PRIVATE SNOWSHORE_VERSION="0.2.0")
+target_link_libraries(snowshore PRIVATE snowshore_edge)
--- /dev/null
+++ b/src/cli/snowshore.cpp
@@ -0,0 +1,53 @@
+// snowshore: the operators' program.
+#include "edge/edge.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+#ifndef SNOWSHORE_VERSION
+#define SNOWSHORE_VERSION "unknown"
+#endif
+
+int main(int argc, char **argv) {
+  using namespace snowshore;
+  CLI::App app("snowshore: places video plays on streaming servers and shapes them");
+  app.require_subcommand(1);
+  app.footer("Examples:\n  snowshore check front.cue site.cue --show\n  snowshore edge --records front.cue "
+             "site.cue\n"
+             "Exit codes: 0 done, 2 bad use or bad input.");
+  std::vector<std::string> files;
+  bool show = false;
+
+  auto *edge = app.add_subcommand("edge", "Serve players: the front end");
+  edge->add_option("--records", files, "Record files; several are unified")->required()->expected(1, -1);
+  edge->footer("SIGHUP reloads limits and log level, SIGTERM answers what is in hand and exits 0.\n"
+               "Example:\n  snowshore edge --records front.cue site.cue");
+  auto *check = app.add_subcommand("check", "Check a front's records and say every fault");
+  check->add_option("files", files, "Record files; several are unified")->required()->expected(1, -1);
+  check->add_flag("--show", show, "Print the result in full, defaults settled");
+  check->footer("Example:\n  snowshore check front.cue site.cue --show");
+  auto *version = app.add_subcommand("version", "Print the version");
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError &error) {
+    return app.exit(error) == 0 ? 0 : 2;
+  }
+  if (*version) {
+    std::cout << "snowshore " << SNOWSHORE_VERSION << "\n";
+    return 0;
+  }
+  if (*edge) return edge::run_edge(files);
+  try {
+    site::FrontRecord record = site::load_front(files);
+    if (show)
+      std::cout << record.shown << "\n";
+    else
+      std::cout << "the records of front " << record.name << " are right\n";
+    return 0;
+  } catch (const records::RecordError &error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+}
--- a/src/decision/id_table.h
+++ b/src/decision/id_table.h
@@ -1,5 +1,6 @@
 // Outside ids to small indices and back; a freed index is given again.
 #pragma once
+#include <cstddef>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +29,7 @@
     index_.erase(ids_[static_cast<std::size_t>(index)]);
     spare_.push_back(index);
   }
+  std::size_t size() const { return index_.size(); }
   const Id &id(int index) const { return ids_[static_cast<std::size_t>(index)]; }
 
  private:
@@ -36,4 +38,27 @@
   std::vector<int> spare_;
 };
 
+// Ids that others hold by their own indices (titles by plays): one is let go with its last holder.
+template <class Id> class HeldTable {
+ public:
+  int index_of(const Id &id) { return table_.index_of(id); }
+  const Id &id(int index) const { return table_.id(index); }
+  std::size_t size() const { return table_.size(); }
+  void hold(int holder, int index) {
+    auto place = static_cast<std::size_t>(holder), held = static_cast<std::size_t>(index);
+    if (place >= held_by_.size()) held_by_.resize(place + 1);
+    if (held >= holders_.size()) holders_.resize(held + 1);
+    held_by_[place] = index;
+    ++holders_[held];
+  }
+  void let_go(int holder) {
+    int index = held_by_[static_cast<std::size_t>(holder)];
+    if (--holders_[static_cast<std::size_t>(index)] == 0) table_.release(index);
+  }
+
+ private:
+  IdTable<Id> table_;
+  std::vector<int> held_by_, holders_;
+};
+
 } // namespace snowshore
--- /dev/null
+++ b/src/edge/channel.cpp
@@ -0,0 +1,254 @@
+#include "edge/channel.h"
+#include "hints/hints.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace snowshore::edge {
+
+namespace {
+
+constexpr double kFirstPause = 0.05, kLongestPause = 1; // between attempts to open a report stream, doubling
+constexpr double kEndTime = 2; // an end or a rung that is not confirmed by then is told anew
+constexpr int kEndTries = 3;
+
+std::chrono::steady_clock::duration span(double seconds) {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+Channel::Channel(asio::io_context &io, http::Client &client, int server, http::Endpoint address,
+                 const Identity &identity, const ReportTimes &times, std::uint64_t seed,
+                 std::function<double()> now, const Events &events)
+    : io_(io), client_(client), server_(server), address_(std::move(address)), identity_(identity),
+      times_(times), chance_(static_cast<std::uint32_t>(seed % 2147483646 + 1)), now_(std::move(now)),
+      events_(events), reopen_timer_(io), watch_timer_(io) {}
+
+Channel::~Channel() {
+  stop_following();
+  client_.forget_server(address_);
+}
+
+void Channel::set_address(const http::Endpoint &address) {
+  if (address == address_) return;
+  client_.forget_server(address_);
+  address_ = address;
+  if (stream_ == Stream::closed) return;
+  stop_following();
+  follow();
+}
+
+http::Client::Id Channel::set_up(const serverwire::SetUp &set_up, double time_out,
+                                 std::function<void(const SetUpResult &)> done) {
+  auto alive = std::weak_ptr<bool>(alive_);
+  auto answered = [this, alive, play = set_up.play, allocation = set_up.allocation,
+                   done = std::move(done)](const http::Result &result) {
+    if (alive.expired()) return;
+    SetUpResult out;
+    out.took = result.took;
+    switch (result.ending) {
+    case http::Ending::unreachable:
+    case http::Ending::no_room:
+      out.outcome = Outcome::unreachable;
+      break;
+    case http::Ending::timed_out:
+      out.outcome = Outcome::timed_out;
+      break;
+    case http::Ending::reset:
+      out.outcome = Outcome::reset;
+      break;
+    case http::Ending::malformed:
+      out.outcome = Outcome::error;
+      if (events_.malformed) events_.malformed(server_);
+      break;
+    case http::Ending::answered:
+      out.load = load_of(result.response);
+      out.started = result.response.status == 201;
+      out.outcome = out.started                     ? Outcome::done
+                    : result.response.status == 503 ? Outcome::busy
+                                                    : Outcome::error;
+    }
+    // It may run at the server though nobody here waits for it: it is told to end it.
+    bool unsure = result.ending == http::Ending::timed_out || result.ending == http::Ending::reset ||
+                  result.ending == http::Ending::malformed;
+    if (unsure) end(play, allocation, "withdrawn");
+    done(out);
+  };
+  auto late = [this, alive, play = set_up.play,
+               allocation = set_up.allocation](const http::Response &response) {
+    if (alive.expired()) return;
+    if (events_.late) events_.late(server_);
+    if (response.status == 201) end(play, allocation, "withdrawn"); // it started after all, for nobody
+  };
+  follow();
+  return client_.send(address_, serverwire::write_set_up(set_up), time_out, std::move(answered),
+                      std::move(late));
+}
+
+void Channel::set_rung(const std::string &play, int rung) {
+  client_.send(address_, serverwire::write_rung(play, rung, ++step_), kEndTime, nullptr);
+}
+
+// Told up to three times: an end that is lost leaves a play on the server that nobody watches.
+void Channel::end(const std::string &play, int allocation, std::string_view reason) {
+  struct Try {
+    std::string play, reason;
+    int allocation, left;
+  };
+  auto alive = std::weak_ptr<bool>(alive_);
+  auto tell = std::make_shared<std::function<void(Try)>>();
+  *tell = [this, alive, weak = std::weak_ptr(tell)](Try one) {
+    auto request = serverwire::write_end(one.play, one.allocation, one.reason);
+    client_.send(address_, request, kEndTime,
+                 [alive, one, again = weak.lock()](const http::Result &result) mutable {
+                   if (alive.expired() || result.ending == http::Ending::answered || --one.left <= 0) return;
+                   if (again) (*again)(one);
+                 });
+  };
+  (*tell)({play, std::string(reason), allocation, kEndTries});
+}
+
+void Channel::probe(std::function<void(Outcome, const LoadReport &)> done) {
+  auto alive = std::weak_ptr<bool>(alive_);
+  client_.send(address_, serverwire::write_probe(), times_.probe_time,
+               [this, alive, done = std::move(done)](const http::Result &result) {
+                 if (alive.expired()) return;
+                 Outcome outcome = Outcome::error;
+                 if (result.ending == http::Ending::answered)
+                   outcome = result.response.status == 200   ? Outcome::done
+                             : result.response.status == 503 ? Outcome::busy
+                                                             : Outcome::error;
+                 if (result.ending == http::Ending::timed_out) outcome = Outcome::timed_out;
+                 if (result.ending == http::Ending::reset) outcome = Outcome::reset;
+                 if (result.ending == http::Ending::unreachable) outcome = Outcome::unreachable;
+                 if (result.ending == http::Ending::no_room)
+                   outcome = Outcome::busy; // says nothing of the server
+                 done(outcome, outcome == Outcome::done ? load_of(result.response) : LoadReport{});
+               });
+}
+
+LoadReport Channel::load_of(const http::Response &response) {
+  LoadReport report;
+  auto text = response.headers.find("CMSD-Dynamic");
+  if (!text) return report;
+  hints::CmsdLoad load = hints::read_cmsd(*text);
+  if (load.malformed && events_.malformed) events_.malformed(server_);
+  report.streams = load.streams, report.link_share = load.link_share;
+  report.link = load.link, report.uplink = load.uplink;
+  return report;
+}
+
+// ---- The report stream.
+
+const char *Channel::stream_state() const {
+  constexpr const char *kNames[] = {"closed", "opening", "open", "waiting"};
+  return kNames[static_cast<int>(stream_)];
+}
+
+void Channel::become(Stream next) { stream_ = next; } // the one place where the stream's state changes
+
+void Channel::follow() {
+  if (stream_ != Stream::closed) return;
+  last_heard_ = now_();
+  failures_ = 0;
+  told_lost_ = false;
+  watched_at_ = now_();
+  open_stream();
+  watch();
+}
+
+void Channel::stop_following() {
+  become(Stream::closed);
+  reopen_timer_.cancel();
+  watch_timer_.cancel();
+  if (stream_id_) client_.cancel(stream_id_);
+  stream_id_ = 0;
+}
+
+void Channel::open_stream() {
+  become(Stream::opening);
+  lines_.clear();
+  asked_at_ = now_();
+  auto alive = std::weak_ptr<bool>(alive_);
+  stream_id_ = client_.stream(
+      address_, serverwire::write_reports(identity_.front, identity_.boot), times_.silence,
+      [](const http::Response &) {},
+      [this, alive](std::string_view data) {
+        if (alive.expired() || stream_ == Stream::closed) return;
+        lines_.take(data, [&](std::string_view text) {
+          if (!alive.expired()) line(text);
+        });
+      },
+      [this, alive](const http::Result &result) {
+        if (!alive.expired()) stream_ended(result.ending);
+      });
+}
+
+void Channel::line(std::string_view text) {
+  auto report = serverwire::read_report(text);
+  if (!report) {
+    if (events_.malformed) events_.malformed(server_);
+    return;
+  }
+  last_heard_ = now_();
+  told_lost_ = false;
+  if (report->kind == serverwire::Report::Kind::hello) {
+    become(Stream::open);
+    failures_ = 0;
+    bool restarted = started_ > 0 && report->started != started_;
+    started_ = report->started;
+    return events_.hello(server_, *report, asked_at_, restarted);
+  }
+  if (report->kind != serverwire::Report::Kind::beat) events_.report(server_, *report);
+}
+
+void Channel::stream_ended(http::Ending ending) {
+  stream_id_ = 0;
+  if (stream_ == Stream::closed) return;
+  // Refused on the very address where it served: its process is gone, and its plays with it.
+  bool gone =
+      ending == http::Ending::unreachable && now_() - last_heard_ < times_.lost_after && failures_ > 0;
+  reopen_later();
+  if (gone && !told_lost_) {
+    told_lost_ = true;
+    events_.lost(server_, "refused");
+  }
+}
+
+void Channel::reopen_later() {
+  become(Stream::waiting);
+  double pause = std::min(kLongestPause, kFirstPause * std::exp2(failures_++));
+  pause *= 0.5 + 0.5 * static_cast<double>(chance_() - 1) / 2147483646.0; // fronts do not come back in step
+  reopen_timer_.expires_after(span(pause));
+  reopen_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (!error && !alive.expired() && stream_ == Stream::waiting) open_stream();
+  });
+}
+
+// A stream that says nothing is no better than none: it is opened anew, and after lost_after its plays have
+// ended.
+void Channel::watch() {
+  watch_timer_.expires_after(span(std::max(0.05, times_.silence / 4)));
+  watch_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (error || alive.expired() || stream_ == Stream::closed) return;
+    // A front that stood still itself has not listened: what servers said meanwhile is read first.
+    if (now_() - watched_at_ > std::max(0.5, times_.silence / 2)) last_heard_ = std::max(last_heard_, now_());
+    watched_at_ = now_();
+    double silent = now_() - last_heard_;
+    if (stream_ == Stream::open && silent > times_.silence) {
+      if (stream_id_) client_.cancel(stream_id_);
+      stream_id_ = 0;
+      reopen_later();
+    }
+    if (silent > times_.lost_after && !told_lost_) {
+      told_lost_ = true;
+      events_.lost(server_, "silent");
+    }
+    watch();
+  });
+}
+
+} // namespace snowshore::edge
--- /dev/null
+++ b/src/edge/list_source.cpp
@@ -0,0 +1,145 @@
+#include "edge/list_source.h"
+#include "site/front_record.h"
+
+#include <sys/inotify.h>
+#include <unistd.h>
+
+#include <array>
+#include <filesystem>
+#include <set>
+#include <system_error>
+
+namespace snowshore::edge {
+
+namespace {
+
+constexpr std::uint32_t kWatched = IN_CLOSE_WRITE | IN_MOVED_TO | IN_CREATE | IN_DELETE | IN_MOVED_FROM;
+
+class WatchedFiles final : public ListSource {
+ public:
+  WatchedFiles(asio::io_context &io, std::string list, std::string catalogue)
+      : io_(io), stream_(io), list_(std::move(list)), catalogue_(std::move(catalogue)) {
+    int fd = inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
+    if (fd < 0) throw std::system_error(errno, std::system_category(), "cannot watch the server list");
+    stream_.assign(fd);
+    std::set<std::string> folders;
+    for (const std::string &file : {list_, catalogue_}) {
+      auto folder = std::filesystem::path(file).parent_path().string();
+      folders.insert(folder.empty() ? "." : folder);
+    }
+    for (const std::string &folder : folders) {
+      if (inotify_add_watch(fd, folder.c_str(), kWatched) < 0)
+        throw std::system_error(errno, std::system_category(), "cannot watch the folder " + folder);
+    }
+  }
+
+  void start(Events events) override {
+    events_ = std::move(events);
+    asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+      if (alive.expired()) return;
+      read_catalogue_file();
+      read_list_file();
+      wait();
+    });
+  }
+
+  void ask() override {
+    asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) read_list_file();
+    });
+  }
+
+ private:
+  void wait() {
+    stream_.async_read_some(asio::buffer(buffer_), [this, alive = std::weak_ptr<bool>(alive_)](
+                                                       asio::error_code error, std::size_t size) {
+      if (alive.expired() || error) return;
+      bool list = false, catalogue = false;
+      for (std::size_t at = 0; at + sizeof(inotify_event) <= size;) {
+        inotify_event event;
+        std::memcpy(&event, buffer_.data() + at, sizeof event);
+        std::string name = event.len ? std::string(buffer_.data() + at + sizeof event) : "";
+        bool lost = (event.mask & IN_Q_OVERFLOW) != 0; // events were dropped: both are read anew
+        list = list || lost || name == std::filesystem::path(list_).filename();
+        catalogue = catalogue || lost || name == std::filesystem::path(catalogue_).filename();
+        at += sizeof event + event.len;
+      }
+      if (catalogue) read_catalogue_file();
+      if (list) read_list_file();
+      wait();
+    });
+  }
+
+  void read_list_file() {
+    try {
+      events_.list(read_list(list_, records::load_file(list_).text));
+    } catch (const records::RecordError &error) {
+      events_.unavailable(error.what());
+    }
+  }
+
+  void read_catalogue_file() {
+    try {
+      events_.catalogue(read_catalogue(catalogue_, records::load_file(catalogue_).text));
+    } catch (const records::RecordError &error) {
+      events_.unavailable(error.what());
+    }
+  }
+
+  asio::io_context &io_;
+  asio::posix::stream_descriptor stream_;
+  std::string list_, catalogue_;
+  Events events_;
+  alignas(inotify_event) std::array<char, 16384> buffer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+ServerList read_list(const std::string &name, const std::string &text) {
+  records::Source files[] = {{name, text}};
+  records::Record record = records::read(files, site::front_schema(), "#List");
+  ServerList out;
+  out.version = static_cast<std::uint64_t>(record.number("version"));
+  std::set<std::string> ids;
+  records::Faults faults;
+  for (const records::Record &one : record.items("servers")) {
+    ListedServer server;
+    server.id = one.text("id");
+    server.hall = one.text("hall"), server.kind = one.text("kind");
+    server.cell = one.whole("cell");
+    server.weight = one.number("weight"), server.started = one.number("started");
+    std::string standing = one.text("standing");
+    server.standing = standing == "active"    ? Standing::active
+                      : standing == "leaving" ? Standing::leaving
+                                              : Standing::left;
+    try {
+      server.address = site::parse_endpoint(one.text("address"));
+    } catch (const std::invalid_argument &error) {
+      faults.push_back(
+          {one.at("address").value().place, one.path() + ".address", "an address and port", error.what()});
+    }
+    if (!ids.insert(server.id).second)
+      faults.push_back(
+          {one.at("id").value().place, one.path() + ".id", "an id that stands once in the list", server.id});
+    out.servers.push_back(std::move(server));
+  }
+  if (!faults.empty()) throw records::RecordError(std::move(faults));
+  return out;
+}
+
+Catalogue read_catalogue(const std::string &name, const std::string &text) {
+  records::Source files[] = {{name, text}};
+  records::Record record = records::read(files, site::front_schema(), "#Catalogue");
+  Catalogue out;
+  for (const auto &[title, place] : record.at("titles").fields())
+    out[title] = {place.whole("cell"), place.whole("cells")};
+  return out;
+}
+
+std::unique_ptr<ListSource> watch_files(asio::io_context &io, const std::string &list,
+                                        const std::string &catalogue) {
+  return std::make_unique<WatchedFiles>(io, list, catalogue);
+}
+
+} // namespace snowshore::edge
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -10,6 +10,7 @@
 
 using Clock = std::chrono::steady_clock;
 constexpr double kForever = 1e9;
+constexpr auto kStoodStill = std::chrono::milliseconds(50), kOnceMore = std::chrono::milliseconds(2);
 
 Clock::duration span(double seconds) {
   return std::chrono::duration_cast<Clock::duration>(
@@ -32,6 +33,7 @@
   void begin(Client::Id id, const Request &request, double time_out, Client::Done done, Client::Late late) {
     id_ = id, done_ = std::move(done), late_ = std::move(late);
     began_ = Clock::now();
+    waited_once_more_ = false;
     give_up_at_ = began_ + span(time_out);
     out_ = write_request(request, server.address().to_string() + ":" + std::to_string(server.port()));
     if (state_ == State::idle) {
@@ -93,6 +95,12 @@
   }
 
   void time_up() {
+    // Guards a process that stood still: answers that lie in the socket are read before a time-out is
+    // believed.
+    if (!waited_once_more_ && state_ != State::idle && Clock::now() - timer_.expiry() > kStoodStill) {
+      waited_once_more_ = true;
+      return arm(kOnceMore);
+    }
     switch (state_) {
     case State::connecting:
       return end(Ending::unreachable);
@@ -192,6 +200,7 @@
   asio::steady_timer timer_;
   MessageReader reader_;
   State state_ = State::connecting;
+  bool waited_once_more_ = false;
   Client::Id id_ = 0;
   Client::Done done_;
   Client::Late late_;
--- a/src/records/grammar.h
+++ b/src/records/grammar.h
@@ -50,11 +50,10 @@
 
 struct Mark : p::one<'?', '!'> {};
 struct Label : p::sor<Name, Text> {};
-struct FieldRule;
-struct FieldRule
-    : p::seq<Label, p::opt<Mark>, Inline, p::one<':'>, Space, p::must<p::sor<FieldRule, Expression>>> {};
 struct Pattern : p::seq<p::one<'['>, Space, p::string<'s', 't', 'r', 'i', 'n', 'g'>, Space, p::one<']'>,
                         Inline, p::one<':'>, Space, p::must<Expression>> {};
+struct FieldRule : p::seq<Label, p::opt<Mark>, Inline, p::one<':'>, Space,
+                          p::must<p::sor<FieldRule, Pattern, Expression>>> {};
 struct Ellipsis : p::string<'.', '.', '.'> {};
 struct Package : p::seq<p::keyword<'p', 'a', 'c', 'k', 'a', 'g', 'e'>, Inline, p::identifier, Separator> {};
 struct Member : p::sor<Ellipsis, Pattern, FieldRule> {};
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -194,10 +194,14 @@
 
   Ref field_value(const Node &field, const std::string &path, Faults &faults) {
     const Node &value = *field.children.back();
-    if (!value.is_type<g::FieldRule>()) return eval(value, path, faults);
-    auto out = std::make_shared<Value>(); // a: b: c
+    if (!value.is_type<g::FieldRule>() && !value.is_type<g::Pattern>()) return eval(value, path, faults);
+    auto out = std::make_shared<Value>(); // a: b: c, or a: [string]: c
     out->kind = Kind::structure;
     out->place = place(value);
+    if (value.is_type<g::Pattern>()) {
+      out->pattern = eval(*value.children[0], join(path, "[string]"), faults);
+      return out;
+    }
     put(*out, value, path, faults);
     return out;
   }
--- /dev/null
+++ b/src/serverwire/protocol.cpp
@@ -0,0 +1,159 @@
+#include "serverwire/protocol.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cmath>
+#include <stdexcept>
+
+namespace snowshore::serverwire {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string number_text(double value) {
+  char buffer[32];
+  auto end = std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3).ptr;
+  return {buffer, end};
+}
+
+http::Request request(std::string method, std::string target) {
+  http::Request out;
+  out.method = std::move(method), out.target = std::move(target);
+  return out;
+}
+
+constexpr std::pair<Report::Kind, const char *> kKinds[] = {
+    {Report::Kind::hello, "hello"}, {Report::Kind::beat, "beat"}, {Report::Kind::share, "share"},
+    {Report::Kind::load, "load"},   {Report::Kind::rung, "rung"}, {Report::Kind::end, "end"}};
+
+} // namespace
+
+http::Request write_set_up(const SetUp &s) {
+  return request("POST", "/plays/" + http::encode(s.play) + "?title=" + http::encode(s.title) +
+                             "&product=" + http::encode(s.product) + "&rung=" + std::to_string(s.rung) +
+                             "&allocation=" + std::to_string(s.allocation) +
+                             "&front=" + http::encode(s.front) + "&boot=" + http::encode(s.boot) +
+                             "&expires_in=" + number_text(s.expires_in));
+}
+
+std::string text_part(const http::Request &request, std::string_view name) {
+  auto value = request.query_value(name);
+  if (!value || value->empty()) throw std::invalid_argument("the part " + std::string(name) + " is missing");
+  return *value;
+}
+
+double number_part(const http::Request &request, std::string_view name) {
+  std::string text = text_part(request, name);
+  double value = 0;
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
+    throw std::invalid_argument("the part " + std::string(name) + " is no number: '" + text + "'");
+  return value;
+}
+
+int whole_part(const http::Request &request, std::string_view name) {
+  double value = number_part(request, name);
+  if (value != std::floor(value) || value < 0 || value > 1e9)
+    throw std::invalid_argument("the part " + std::string(name) + " is no small whole number");
+  return static_cast<int>(value);
+}
+
+std::optional<std::string> play_of(std::string_view path) {
+  constexpr std::string_view kPlays = "/plays/", kRung = "/rung";
+  if (!path.starts_with(kPlays)) return std::nullopt;
+  path.remove_prefix(kPlays.size());
+  if (path.ends_with(kRung)) path.remove_suffix(kRung.size());
+  if (path.empty() || path.find('/') != std::string_view::npos) return std::nullopt;
+  return std::string(path);
+}
+
+SetUp read_set_up(const http::Request &request) {
+  SetUp out;
+  auto play = play_of(request.path);
+  if (!play) throw std::invalid_argument("the path names no play");
+  out.play = *play;
+  out.title = text_part(request, "title");
+  out.product = text_part(request, "product");
+  out.front = text_part(request, "front");
+  out.boot = text_part(request, "boot");
+  out.rung = whole_part(request, "rung");
+  out.allocation = whole_part(request, "allocation");
+  out.expires_in = number_part(request, "expires_in");
+  return out;
+}
+
+http::Request write_rung(const std::string &play, int rung, std::uint64_t step) {
+  return request("PUT", "/plays/" + http::encode(play) + "/rung?rung=" + std::to_string(rung) +
+                            "&step=" + std::to_string(step));
+}
+
+http::Request write_end(const std::string &play, int allocation, std::string_view reason) {
+  return request("DELETE", "/plays/" + http::encode(play) + "?allocation=" + std::to_string(allocation) +
+                               "&reason=" + http::encode(reason));
+}
+
+http::Request write_probe() { return request("GET", "/load"); }
+
+http::Request write_reports(const std::string &front, const std::string &boot) {
+  return request("GET", "/fronts/" + http::encode(front) + "/reports?boot=" + http::encode(boot));
+}
+
+std::string write_report(const Report &report) {
+  Json line;
+  for (const auto &[kind, name] : kKinds) {
+    if (kind == report.kind) line["is"] = name;
+  }
+  if (!report.play.empty()) line["play"] = report.play;
+  if (report.kind == Report::Kind::share || report.kind == Report::Kind::rung) line["value"] = report.value;
+  if (report.link) line["link"] = *report.link;
+  if (report.uplink) line["uplink"] = *report.uplink;
+  if (report.kind == Report::Kind::end) line["reason"] = report.reason;
+  if (report.kind == Report::Kind::hello) line["started"] = report.started, line["plays"] = report.plays;
+  return line.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+std::optional<Report> read_report(std::string_view text) {
+  Json line = Json::parse(text, nullptr, false);
+  if (!line.is_object()) return std::nullopt;
+  Report out;
+  bool known = false;
+  auto number = [&](const char *name) -> std::optional<double> {
+    auto it = line.find(name);
+    if (it == line.end() || !it->is_number()) return std::nullopt;
+    double value = it->get<double>();
+    return std::isfinite(value) && value >= 0 ? std::optional(value) : std::nullopt;
+  };
+  auto is = line.find("is");
+  if (is == line.end() || !is->is_string()) return std::nullopt;
+  for (const auto &[kind, name] : kKinds) {
+    if (*is == name) out.kind = kind, known = true;
+  }
+  if (!known) return std::nullopt;
+  if (auto play = line.find("play"); play != line.end() && play->is_string())
+    out.play = play->get<std::string>();
+  bool of_play = out.kind != Report::Kind::hello && out.kind != Report::Kind::beat;
+  if (of_play && out.play.empty()) return std::nullopt;
+  out.link = number("link"), out.uplink = number("uplink");
+  if (out.kind == Report::Kind::share || out.kind == Report::Kind::rung) {
+    auto value = number("value");
+    if (!value) return std::nullopt;
+    out.value = *value;
+  }
+  if (auto reason = line.find("reason"); reason != line.end() && reason->is_string())
+    out.reason = reason->get<std::string>();
+  if (out.kind == Report::Kind::hello) {
+    auto started = number("started");
+    auto plays = line.find("plays");
+    if (!started || plays == line.end() || !plays->is_array()) return std::nullopt;
+    out.started = *started;
+    for (const Json &play : *plays) {
+      if (!play.is_string()) return std::nullopt;
+      out.plays.push_back(play.get<std::string>());
+    }
+  }
+  return out;
+}
+
+} // namespace snowshore::serverwire
--- /dev/null
+++ b/src/site/front_record.cpp
@@ -0,0 +1,329 @@
+#include "site/front_record.h"
+#include "decision/names.h"
+
+#include <charconv>
+#include <cmath>
+
+namespace snowshore::site {
+
+namespace {
+
+using records::Fault;
+using records::Record;
+
+constexpr const char *kSchema = R"cue(
+#Time: string & =~"^[0-9]+(\\.[0-9]+)?(us|ms|s|m|h)$"
+#Rate: string & =~"^[0-9]+(\\.[0-9]+)?(kB/s|MB/s|kbit/s|Mbit/s)$"
+#Address: string & =~"^([0-9.]+|\\[[0-9a-fA-F:]+\\]):[0-9]{1,5}$"
+#Name: string & =~"^[A-Za-z0-9._-]{1,64}$"
+
+#Product: {
+  name: #Name
+  first_frame_target: #Time
+  time_limit: #Time
+  importance: *1 | (number & >0)
+  set_up: *"safe" | "keyed" | "unsafe"
+  floor: *0 | (int & >=0)
+  top: int & >=0
+  seats: *0 | (int & >=0)
+  rate_factor: *1 | (number & >0)
+}
+
+#Front: {
+  name: #Name
+  index: *0 | (int & >=0)
+  fronts: *1 | (int & >=1)
+  hall: *"" | string
+  seed: *0 | (int & >=0)
+  listen: {
+    players: *"127.0.0.1:8080" | #Address
+    operators: *"127.0.0.1:8081" | #Address
+    ports_file: *"" | string
+  }
+  list: {
+    file: string & !=""
+    catalogue: string & !=""
+  }
+  fleet: {
+    cells: int & >=1
+    racks: *1 | (int & >=1)
+    halls: *[] | [...string]
+    kinds: [...{name: #Name, places: number & >0}]
+    link_per_weight: #Rate
+    rack_uplink: *"0kB/s" | #Rate
+    weight_meaning: *"rough" | "nominal" | "none" | "live"
+    full_from: *0 | (number & >=0)
+  }
+  products: [#Product, ...#Product]
+  rungs: [{rate: #Rate, importance: number & >=0}, ...{rate: #Rate, importance: number & >=0}]
+  load: {
+    comes_with: *"answers" | "probe" | "none"
+    fields: *["link", "uplink"] | [..."streams" | "link_share" | "link" | "uplink"]
+    may_probe: *true | false
+    note_delay: *"1s" | #Time
+    note_interval: *"3s" | #Time
+  }
+  allocations: {
+    per_play: *3 | (int & >=1 & <=8)
+    further: {
+      span: *"0s" | #Time
+      free: *0 | (number & >=0)
+      share: *0 | (number & >=0)
+    }
+  }
+  rules: {
+    warm_up: #Time
+    cold_share: number & >0 & <=1
+    fall_multiple: number & >0
+    fall_span: #Time
+    drain_grace: *"1s" | #Time
+    answer_slack: *"40ms" | #Time
+  }
+  retry_after: *"1s" | #Time
+  limits: {
+    open_plays: *20000 | (int & >=1)
+    connections: *8192 | (int & >=1)
+    header_bytes: *16384 | (int & >=256 & <=65536)
+    body_bytes: *65536 | (int & >=0)
+    header_time: *"5s" | #Time
+    idle_time: *"30s" | #Time
+    write_time: *"10s" | #Time
+    server_connections: *64 | (int & >=2)
+    all_connections: *8192 | (int & >=2)
+    connect_time: *"250ms" | #Time
+    probe_time: *"250ms" | #Time
+    late_time: *"5s" | #Time
+    report_silence: *"3s" | #Time
+    lost_after: *"6s" | #Time
+  }
+  log: {
+    where: *"-" | string
+    level: *"info" | "debug" | "warning" | "error"
+  }
+}
+
+#Server: {
+  id: #Name
+  address: #Address
+  hall: *"" | string
+  kind: *"" | string
+  cell: int & >=0
+  weight: *1 | (number & >=0)
+  standing: *"active" | "leaving" | "left"
+  started: *0 | (number & >=0)
+}
+#List: {
+  version: int & >=0
+  servers: [...#Server]
+}
+#Catalogue: {
+  version: int & >=0
+  titles: [string]: {cell: int & >=0, cells: int & >=1}
+}
+)cue";
+
+std::string shortest(double value) {
+  char buffer[32];
+  return {buffer, std::to_chars(buffer, buffer + sizeof buffer, value).ptr};
+}
+
+// Faults of values that do not fit each other, which the schema alone cannot say.
+class Cross {
+ public:
+  void expect(bool holds, const Record &where, std::string_view name, const std::string &expected) {
+    if (holds) return;
+    Record one = where.at(name);
+    faults_.push_back({one.value().place, one.path(), expected, records::describe(one.value())});
+  }
+  void finish() {
+    if (!faults_.empty()) throw records::RecordError(std::move(faults_));
+  }
+
+ private:
+  records::Faults faults_;
+};
+
+void check_together(const Record &front) {
+  Cross cross;
+  auto rungs = front.items("rungs");
+  int top = static_cast<int>(rungs.size()) - 1;
+  for (std::size_t r = 1; r < rungs.size(); ++r) {
+    cross.expect(rungs[r].rate("rate") > rungs[r - 1].rate("rate"), rungs[r], "rate",
+                 "a rate above the rung's below");
+    cross.expect(rungs[r].number("importance") > rungs[r - 1].number("importance"), rungs[r], "importance",
+                 "an importance above the rung's below");
+  }
+  cross.expect(rungs[0].rate("rate") > 0, rungs[0], "rate", "a rate above 0");
+  std::map<std::string, int> names;
+  for (const Record &product : front.items("products")) {
+    cross.expect(++names[product.text("name")] == 1, product, "name", "a name that no other product has");
+    cross.expect(product.seconds("first_frame_target") <= product.seconds("time_limit"), product,
+                 "first_frame_target", "a first-frame target within the time limit");
+    cross.expect(product.seconds("first_frame_target") > 0, product, "first_frame_target", "a time above 0");
+    cross.expect(product.whole("top") <= top, product, "top",
+                 "a rung of the ladder, " + std::to_string(top) + " at most");
+    cross.expect(product.whole("floor") <= product.whole("top"), product, "floor",
+                 "a floor no higher than the top");
+  }
+  cross.expect(front.whole("index") < front.whole("fronts"), front, "index",
+               "an index below the number of fronts");
+  Record fleet = front.at("fleet"), rules = front.at("rules"), limits = front.at("limits");
+  cross.expect(fleet.whole("racks") <= fleet.whole("cells"), fleet, "racks", "no more racks than cells");
+  cross.expect(fleet.rate("link_per_weight") > 0, fleet, "link_per_weight", "a rate above 0");
+  cross.expect(rules.seconds("fall_span") > 0, rules, "fall_span", "a time above 0");
+  cross.expect(limits.seconds("lost_after") >= limits.seconds("report_silence"), limits, "lost_after",
+               "a time no shorter than report_silence");
+  cross.finish();
+}
+
+} // namespace
+
+const records::Source &front_schema() {
+  static const records::Source kSource{"(schema of the front)", kSchema};
+  return kSource;
+}
+
+http::Endpoint parse_endpoint(const std::string &text) {
+  std::size_t colon = text.rfind(':');
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[') host = host.substr(1, host.size() - 2);
+  unsigned port = 0;
+  auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+  asio::error_code bad;
+  auto address = asio::ip::make_address(host, bad);
+  if (colon == std::string::npos || bad || error != std::errc() || end != text.data() + text.size() ||
+      port > 65535)
+    throw std::invalid_argument("'" + text + "' is no address and port");
+  return {address, static_cast<unsigned short>(port)};
+}
+
+Given module_values(const Record &front) {
+  Given given;
+  auto put = [&](const char *name, const std::string &value) { given[name] = value; };
+  auto put_number = [&](const char *name, double value) { put(name, shortest(value)); };
+  auto put_list = [&](const char *name, const std::vector<Record> &items, auto value) {
+    std::string all;
+    for (const Record &item : items) all += (all.empty() ? "" : ",") + value(item);
+    put(name, all);
+  };
+  Record fleet = front.at("fleet"), load = front.at("load"), rules = front.at("rules"),
+         allocations = front.at("allocations"), further = allocations.at("further");
+  auto products = front.items("products"), rungs = front.items("rungs");
+  put_number(given::kFronts, front.number("fronts"));
+  put_number(given::kFrontIndex, front.number("index"));
+  put(given::kHall, front.text("hall"));
+  put_list(given::kHalls, fleet.items("halls"), [](const Record &r) { return r.as_text(); });
+  put_list(given::kKinds, fleet.items("kinds"), [](const Record &r) { return r.text("name"); });
+  put_list(given::kKindPlaces, fleet.items("kinds"),
+           [](const Record &r) { return shortest(r.number("places")); });
+  put_number(given::kCells, fleet.number("cells"));
+  put_number(given::kRacks, fleet.number("racks"));
+  put_number(given::kLinkPerWeight, fleet.rate("link_per_weight"));
+  put_number(given::kRackUplink, fleet.rate("rack_uplink"));
+  put(given::kWeightMeaning, fleet.text("weight_meaning"));
+  put_number(given::kServerFullFrom, fleet.number("full_from"));
+  put(given::kListMode, "pushed");
+  put_number(given::kProducts, static_cast<double>(products.size()));
+  auto of_product = [](const char *name) {
+    return [name](const Record &r) { return shortest(r.number(name)); };
+  };
+  put_list(given::kProductFloors, products, of_product("floor"));
+  put_list(given::kProductTops, products, of_product("top"));
+  put_list(given::kProductSeats, products, of_product("seats"));
+  put_list(given::kProductRateFactors, products, of_product("rate_factor"));
+  put_list(given::kRungRates, rungs, [](const Record &r) { return shortest(r.rate("rate")); });
+  put_list(given::kRungImportance, rungs, of_product("importance"));
+  for (std::size_t p = 0; p < products.size(); ++p) {
+    given[given::product_value(p, given::kName)] = products[p].text("name");
+    given[given::product_value(p, given::kFirstFrameTarget)] =
+        shortest(products[p].seconds("first_frame_target"));
+    given[given::product_value(p, given::kTimeLimit)] = shortest(products[p].seconds("time_limit"));
+    given[given::product_value(p, given::kImportance)] = shortest(products[p].number("importance"));
+    given[given::product_value(p, given::kSetUp)] = products[p].text("set_up");
+  }
+  put(given::kLoadComesWith, load.text("comes_with"));
+  put_list(given::kLoadFields, load.items("fields"), [](const Record &r) { return r.as_text(); });
+  put_number(given::kMayProbe, load.flag("may_probe"));
+  put_number(given::kMayRecall, 1);
+  put_number(given::kMayAdviseReturn, 1);
+  put_number(given::kNoteDelay, load.seconds("note_delay"));
+  put_number(given::kLinkNoteInterval, load.seconds("note_interval"));
+  put_number(given::kAllocationsPerPlay, allocations.number("per_play"));
+  put_number(given::kFurtherSpan, further.seconds("span"));
+  put_number(given::kFurtherFree, further.number("free"));
+  put_number(given::kFurtherShare, further.number("share"));
+  put_number(given::kWarmUp, rules.seconds("warm_up"));
+  put_number(given::kColdShare, rules.number("cold_share"));
+  put_number(given::kFallMultiple, rules.number("fall_multiple"));
+  put_number(given::kFallSpan, rules.seconds("fall_span"));
+  put_number(given::kDrainGrace, rules.seconds("drain_grace"));
+  put_number(given::kAnswerSlack, rules.seconds("answer_slack"));
+  put_number(given::kLongestRetryAfter, front.seconds("retry_after"));
+  return given;
+}
+
+FrontRecord read_front(std::span<const records::Source> files) {
+  Record front = records::read(files, front_schema(), "#Front");
+  check_together(front);
+  FrontRecord out;
+  out.name = front.text("name");
+  out.index = front.whole("index");
+  out.fronts = front.whole("fronts");
+  out.seed = static_cast<std::uint64_t>(front.number("seed"));
+  Record listen = front.at("listen"), list = front.at("list"), limits = front.at("limits"),
+         log = front.at("log");
+  try {
+    out.players = parse_endpoint(listen.text("players"));
+    out.operators = parse_endpoint(listen.text("operators"));
+  } catch (const std::invalid_argument &error) {
+    throw records::RecordError(
+        {{listen.value().place, listen.path(), "addresses to listen on", error.what()}});
+  }
+  out.ports_file = listen.text("ports_file");
+  out.list_file = list.text("file");
+  out.catalogue_file = list.text("catalogue");
+  for (const Record &hall : front.at("fleet").items("halls")) out.halls.push_back(hall.as_text());
+  for (const Record &kind : front.at("fleet").items("kinds")) out.kinds.push_back(kind.text("name"));
+  for (const Record &product : front.items("products"))
+    out.products.push_back(
+        {product.text("name"), product.seconds("time_limit"), product.number("rate_factor")});
+  for (const Record &rung : front.items("rungs")) out.rung_rates.push_back(rung.rate("rate"));
+  out.load_in_answers = front.at("load").text("comes_with") == "answers";
+  out.answer_slack = front.at("rules").seconds("answer_slack");
+  FrontLimits &l = out.limits;
+  l.players.read.header_bytes = static_cast<std::size_t>(limits.whole("header_bytes"));
+  l.players.read.body_bytes = static_cast<std::size_t>(limits.whole("body_bytes"));
+  l.players.connections = static_cast<std::size_t>(limits.whole("connections"));
+  l.players.header_time = limits.seconds("header_time");
+  l.players.idle_time = limits.seconds("idle_time");
+  l.players.write_time = limits.seconds("write_time");
+  l.servers.per_server = static_cast<std::size_t>(limits.whole("server_connections"));
+  l.servers.in_all = static_cast<std::size_t>(limits.whole("all_connections"));
+  l.servers.connect_time = limits.seconds("connect_time");
+  l.servers.late_time = limits.seconds("late_time");
+  l.open_plays = static_cast<std::size_t>(limits.whole("open_plays"));
+  l.probe_time = limits.seconds("probe_time");
+  l.report_silence = limits.seconds("report_silence");
+  l.lost_after = limits.seconds("lost_after");
+  out.log_where = log.text("where");
+  out.log_level = log.text("level");
+  out.shown = records::render(front.value());
+  out.given = module_values(front);
+  return out;
+}
+
+FrontRecord load_front(const std::vector<std::string> &names) {
+  std::vector<records::Source> files;
+  records::Faults faults;
+  for (const std::string &name : names) {
+    try {
+      files.push_back(records::load_file(name));
+    } catch (const records::RecordError &error) {
+      faults.insert(faults.end(), error.faults.begin(), error.faults.end());
+    }
+  }
+  if (!faults.empty()) throw records::RecordError(std::move(faults));
+  return read_front(files);
+}
+
+} // namespace snowshore::site
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -1,4 +1,5 @@
 #include "wirehost/host.h"
+#include "decision/names.h"
 
 #include <algorithm>
 
@@ -12,66 +13,66 @@
 
 // What the wire calls a setting and what the module calls it; names not listed pass under the wire's own.
 constexpr Name kSettingNames[] = {
-    {"group_size", "fronts"},
-    {"index", "front_index"},
-    {"my_zone", "hall"},
-    {"areas", "halls"},
-    {"skus", "kinds"},
-    {"classes.count", "products"},
-    {"discovery", "list_mode"},
-    {"over_share_worth", "importance_over_share"},
-    {"weights", "weight_meaning"},
-    {"family_info.cells", "cells"},
-    {"family_info.class_floor", "product_floors"},
-    {"family_info.class_top", "product_tops"},
-    {"family_info.class_seats", "product_seats"},
-    {"family_info.rate_factor", "product_rate_factors"},
-    {"family_info.is_live", "product_live"},
-    {"family_info.full_from", "server_full_from"},
-    {"family_info.join_adds", "shared_viewer_adds"},
-    {"family_info.kind_slots", "kind_places"},
-    {"family_info.links_kb", "links_in_all"},
-    {"family_info.groups", "racks"},
-    {"family_info.ladder_kb", "rung_rates"},
-    {"family_info.worth_by_rung", "rung_importance"},
-    {"family_info.seen_after", "note_delay"},
-    {"family_info.reports_every", "link_note_interval"},
-    {"family_info.shortfall_cost", "shortfall_cost"},
-    {"family_info.switch_cost_s", "rung_step_cost"},
-    {"family_info.rack_link_kb", "rack_uplink"},
-    {"family_info.link_unit_kb", "link_per_weight"},
-    {"limits.attempts_cap", "allocations_per_play"},
-    {"limits.cancel", "may_recall"},
-    {"limits.probes", "may_probe"},
-    {"limits.retry_after", "may_advise_return"},
-    {"limits.max_retry_after", "longest_retry_after"},
-    {"prices.moves", "move_price"},
-    {"prices.probe", "probe_price"},
-    {"prices.cross_zone", "cross_hall_price"},
-    {"prices.late_fail", "late_failure_price"},
-    {"report.how", "load_comes_with"},
-    {"report.names", "load_fields"},
-    {"rules.cold", "warm_up"},
-    {"rules.cold_from", "cold_share"},
-    {"rules.fall_multiple", "fall_multiple"},
-    {"rules.tip_after", "fall_span"},
-    {"rules.stop_sending_within", "drain_grace"},
-    {"rules.repeat_ratio", "further_share"},
-    {"rules.free_resends", "further_free"},
-    {"rules.budget_span", "further_span"},
-    {"rules.answer_slack", "answer_slack"},
+    {"group_size", given::kFronts},
+    {"index", given::kFrontIndex},
+    {"my_zone", given::kHall},
+    {"areas", given::kHalls},
+    {"skus", given::kKinds},
+    {"classes.count", given::kProducts},
+    {"discovery", given::kListMode},
+    {"over_share_worth", given::kImportanceOverShare},
+    {"weights", given::kWeightMeaning},
+    {"family_info.cells", given::kCells},
+    {"family_info.class_floor", given::kProductFloors},
+    {"family_info.class_top", given::kProductTops},
+    {"family_info.class_seats", given::kProductSeats},
+    {"family_info.rate_factor", given::kProductRateFactors},
+    {"family_info.is_live", given::kProductLive},
+    {"family_info.full_from", given::kServerFullFrom},
+    {"family_info.join_adds", given::kSharedViewerAdds},
+    {"family_info.kind_slots", given::kKindPlaces},
+    {"family_info.links_kb", given::kLinksInAll},
+    {"family_info.groups", given::kRacks},
+    {"family_info.ladder_kb", given::kRungRates},
+    {"family_info.worth_by_rung", given::kRungImportance},
+    {"family_info.seen_after", given::kNoteDelay},
+    {"family_info.reports_every", given::kLinkNoteInterval},
+    {"family_info.shortfall_cost", given::kShortfallCost},
+    {"family_info.switch_cost_s", given::kRungStepCost},
+    {"family_info.rack_link_kb", given::kRackUplink},
+    {"family_info.link_unit_kb", given::kLinkPerWeight},
+    {"limits.attempts_cap", given::kAllocationsPerPlay},
+    {"limits.cancel", given::kMayRecall},
+    {"limits.probes", given::kMayProbe},
+    {"limits.retry_after", given::kMayAdviseReturn},
+    {"limits.max_retry_after", given::kLongestRetryAfter},
+    {"prices.moves", given::kMovePrice},
+    {"prices.probe", given::kProbePrice},
+    {"prices.cross_zone", given::kCrossHallPrice},
+    {"prices.late_fail", given::kLateFailurePrice},
+    {"report.how", given::kLoadComesWith},
+    {"report.names", given::kLoadFields},
+    {"rules.cold", given::kWarmUp},
+    {"rules.cold_from", given::kColdShare},
+    {"rules.fall_multiple", given::kFallMultiple},
+    {"rules.tip_after", given::kFallSpan},
+    {"rules.stop_sending_within", given::kDrainGrace},
+    {"rules.repeat_ratio", given::kFurtherShare},
+    {"rules.free_resends", given::kFurtherFree},
+    {"rules.budget_span", given::kFurtherSpan},
+    {"rules.answer_slack", given::kAnswerSlack},
 };
 
 constexpr Name kProductNames[] = {
-    {"on_time", "first_frame_target"},
-    {"deadline", "time_limit"},
-    {"worth", "importance"},
-    {"effect", "set_up"},
-    {"name", "name"},
+    {"on_time", given::kFirstFrameTarget},
+    {"deadline", given::kTimeLimit},
+    {"worth", given::kImportance},
+    {"effect", given::kSetUp},
+    {"name", given::kName},
 };
 
 constexpr Name kLoadNames[] = {
-    {"active", "streams"}, {"cpu", "link_share"}, {"x0", "link"}, {"x1", "uplink"}};
+    {"active", given::kStreams}, {"cpu", given::kLinkShare}, {"x0", given::kLink}, {"x1", given::kUplink}};
 
 constexpr std::pair<std::string_view, Outcome> kOutcomes[] = {
     {"done", Outcome::done},
@@ -155,8 +156,8 @@
 Instance::Instance(std::string number, const WireLine &line, double now, std::string &out)
     : number_(std::move(number)), out_(out) {
   Given given = plain_settings(line);
-  for (int product = 0;; ++product) {
-    auto it = given.find("product." + std::to_string(product) + ".name");
+  for (std::size_t product = 0;; ++product) {
+    auto it = given.find(given::product_value(product, given::kName));
     if (it == given.end()) break;
     products_.push_back(it->second);
   }
@@ -278,17 +279,12 @@
   std::uint64_t corr = read_corr(line.text("corr"));
   if (plays_.find(corr) >= 0) throw WireError("corr " + std::string(line.text("corr")) + " comes twice");
   int play = plays_.index_of(corr);
-  auto place = static_cast<std::size_t>(play), title = static_cast<std::size_t>(terms.title);
-  if (place >= title_of_.size()) title_of_.resize(place + 1);
-  if (title >= plays_of_.size()) plays_of_.resize(title + 1);
-  title_of_[place] = terms.title;
-  ++plays_of_[title];
+  titles_.hold(play, terms.title);
   return play;
 }
 
 void Instance::forget(int play) {
-  int title = title_of_[static_cast<std::size_t>(play)];
-  if (--plays_of_[static_cast<std::size_t>(title)] == 0) titles_.release(title);
+  titles_.let_go(play);
   plays_.release(play);
 }
 
--- a/src/wirehost/host.h
+++ b/src/wirehost/host.h
@@ -47,8 +47,8 @@
 
   std::string number_;
   std::string &out_;
-  IdTable<std::uint64_t> plays_, titles_, servers_;
-  std::vector<int> title_of_, plays_of_; // by play; by title, which is let go with its last play
+  IdTable<std::uint64_t> plays_, servers_;
+  HeldTable<std::uint64_t> titles_; // a title is let go with its last play
   IdTable<std::string> customers_;
   std::vector<std::string> products_;
   std::unique_ptr<Front> front_;
