--- a/src/edge/channel.cpp
+++ b/src/edge/channel.cpp
@@ -71,10 +71,9 @@
                     : result.response.status == 503 ? Outcome::busy
                                                     : Outcome::error;
     }
-    // It may run at the server though nobody here waits for it: it is told to end it.
-    bool unsure = result.ending == http::Ending::timed_out || result.ending == http::Ending::reset ||
-                  result.ending == http::Ending::malformed;
-    if (unsure) end(play, allocation, "withdrawn");
+    // It may run at the server though nobody here waits for it: the server is told to end it.
+    bool never_ran = out.outcome == Outcome::busy || out.outcome == Outcome::unreachable;
+    if (!out.started && !never_ran) end(play, allocation, "withdrawn");
     done(out);
   };
   auto late = [this, alive, play = set_up.play,
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -150,6 +150,7 @@
   *alive_ = false;
   players_.stop();
   operators_.stop();
+  channels_.clear(); // they end their streams through the client, which goes next
 }
 
 template <class F> void Edge::decide(F call) {
--- a/src/site/front_record.cpp
+++ b/src/site/front_record.cpp
@@ -309,6 +309,7 @@
   out.log_level = log.text("level");
   out.shown = records::render(front.value());
   out.given = module_values(front);
+  out.record = front;
   return out;
 }
 
--- a/src/site/front_record.h
+++ b/src/site/front_record.h
@@ -42,8 +42,9 @@
   double answer_slack = 0;
   FrontLimits limits;
   std::string log_where, log_level;
-  std::string shown; // the whole record as settled, for comparing at a reload
-  Given given;       // for the module
+  records::Record record; // settled
+  std::string shown;      // the whole record as settled, for comparing at a reload
+  Given given;            // for the module
 };
 
 // Throws records::RecordError with every fault, also where values do not fit each other.
