--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -612,7 +612,8 @@
   show("snowshore_player_malformed", "Requests refused as no HTTP or over a limit of size", p.malformed);
   show("snowshore_player_slow_cut", "Connections cut for header_time or write_time", p.slow_cut);
   show("snowshore_player_idle_cut", "Connections cut for idle_time or to make room", p.idle_cut);
-  show("snowshore_player_crowded_out", "Connections refused at the limit connections", p.crowded_out);
+  show("snowshore_player_accept_pauses", "Times that accepting waited at the limit connections",
+       p.accept_pauses);
   show("snowshore_player_accept_faults", "Failed accepts, mostly for want of descriptors", p.accept_faults);
   const http::ClientCounters &c = client_.counters();
   show("snowshore_server_connections_opened", "Connections opened to servers so far", c.opened);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,7 +9,9 @@
 
 using Clock = std::chrono::steady_clock;
 constexpr auto kSweepEvery = std::chrono::milliseconds(100);
-constexpr double kIdleEnough = 1; // to be closed for another when descriptors run out
+constexpr double kNeverAsked = 0.1,
+                 kUsedIdle = 1; // silent for so long, a connection may be closed for another
+constexpr auto kFullPause = std::chrono::milliseconds(10);   // until room is looked for again
 constexpr auto kAcceptPause = std::chrono::milliseconds(50); // after a failed accept (out of descriptors)
 
 double since(Clock::time_point then) { return std::chrono::duration<double>(Clock::now() - then).count(); }
@@ -35,6 +37,10 @@
   State state() const { return state_; }
   bool idle() const { return state_ == State::reading && !reader_.begun(); }
   bool used() const { return used_; }
+  bool has_unread() const {
+    asio::error_code error;
+    return socket_.available(error) > 0;
+  }
   Clock::time_point changed() const { return changed_; }
 
   // What has lasted too long is cut; called by the server's sweep.
@@ -254,40 +260,47 @@
 Server::~Server() { stop(); }
 
 void Server::accept() {
+  // At the limit nobody is turned away: those who come wait in the listen queue until there is room.
+  if (connections_.size() >= limits_.connections && !make_room()) {
+    ++counters_.accept_pauses;
+    return accept_later(kFullPause);
+  }
   acceptor_.async_accept(
       [this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, asio::ip::tcp::socket socket) {
         if (alive.expired() || stopped_ || draining_) return;
         if (error) { // out of descriptors, mostly: those that are open go on, and accepting resumes by itself
           ++counters_.accept_faults;
-          accept_timer_.expires_after(kAcceptPause);
-          accept_timer_.async_wait([this, alive](asio::error_code stopped) {
-            if (!alive.expired() && !stopped && !stopped_) accept();
-          });
-          make_room(kIdleEnough);
-          return;
+          make_room();
+          return accept_later(kAcceptPause);
         }
         ++counters_.accepted;
-        if (connections_.size() >= limits_.connections && !make_room()) {
-          ++counters_.crowded_out; // every connection has a request in hand: this one gets none
-        } else {
-          auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-          connections_.push_back(connection);
-          connection->place = std::prev(connections_.end());
-          connection->start();
-        }
+        auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+        connections_.push_back(connection);
+        connection->place = std::prev(connections_.end());
+        connection->start();
         accept();
       });
 }
 
-// Guards those who ask against those who only hold a connection: the longest idle goes first.
-bool Server::make_room(double idle_for) {
+void Server::accept_later(std::chrono::milliseconds pause) {
+  accept_timer_.expires_after(pause);
+  accept_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code stopped) {
+    if (!alive.expired() && !stopped && !stopped_ && !draining_) accept();
+  });
+}
+
+// Guards those who ask against those who only hold a connection: the longest silent one goes, first of those
+// that never asked for anything. One whose request lies unread in its socket is not silent.
+bool Server::make_room() {
   std::shared_ptr<ServerConnection> longest;
   for (const auto &connection : connections_) {
-    if (connection->state() == ServerConnection::State::reading &&
-        (!longest || connection->changed() < longest->changed()))
-      longest = connection;
+    if (connection->state() != ServerConnection::State::reading) continue;
+    if (since(connection->changed()) < (connection->idle() && !connection->used() ? kNeverAsked : kUsedIdle)) continue;
+    bool first = !longest || (longest->used() && !connection->used()) ||
+                 (longest->used() == connection->used() && connection->changed() < longest->changed());
+    if (first && !connection->has_unread()) longest = connection;
   }
-  if (!longest || since(longest->changed()) < idle_for) return false;
+  if (!longest) return false;
   ++counters_.idle_cut;
   longest->close();
   return true;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -26,7 +26,7 @@
 };
 
 struct ServerCounters {
-  std::uint64_t accepted = 0, requests = 0, malformed = 0, slow_cut = 0, idle_cut = 0, crowded_out = 0,
+  std::uint64_t accepted = 0, requests = 0, malformed = 0, slow_cut = 0, idle_cut = 0, accept_pauses = 0,
                 accept_faults = 0, left_early = 0, stream_cut = 0;
 };
 
@@ -72,7 +72,8 @@
   friend class ServerConnection;
   void accept();
   void sweep();
-  bool make_room(double idle_for = 0);
+  bool make_room();
+  void accept_later(std::chrono::milliseconds pause);
   void gone(std::list<std::shared_ptr<ServerConnection>>::iterator where);
 
   asio::io_context &io_;
--- a/src/lab/run_day.cpp
+++ b/src/lab/run_day.cpp
@@ -99,6 +99,7 @@
 
   void terminate() {
     go_on();
+    told_to_end_ = true;
     if (pid_ > 0) kill(pid_, SIGTERM);
   }
   bool ended() { // after terminate()
@@ -111,7 +112,7 @@
   }
   bool died_by_itself() {
     int status = 0;
-    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) return false;
+    if (pid_ <= 0 || told_to_end_ || waitpid(pid_, &status, WNOHANG) != pid_) return false;
     pid_ = 0;
     trace_.put("front_died", {{"front", name()}, {"status", status}});
     return true;
@@ -131,7 +132,7 @@
   Trace &trace_;
   std::string folder_;
   pid_t pid_ = 0;
-  bool has_ports_ = false, stalled_ = false;
+  bool has_ports_ = false, stalled_ = false, told_to_end_ = false;
   http::Endpoint players_, operators_;
 };
 
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -412,7 +412,9 @@
   }
   if (!faults.empty()) throw RecordError(std::move(faults));
   Ref wanted = package.definition(std::string(definition), {schema.name}, faults);
-  Ref value = unify(wanted, package.body(false, faults), "", faults);
+  auto body = std::make_shared<Value>(*package.body(false, faults));
+  body->place = {files.empty() ? schema.name : files.front().name, 1, 1};
+  Ref value = unify(wanted, body, "", faults);
   value = settle(value, "", faults);
   if (!faults.empty()) throw RecordError(std::move(faults));
   return Record(value, "");
--- a/src/records/value.cpp
+++ b/src/records/value.cpp
@@ -217,7 +217,7 @@
     if (!own.empty() && (last.empty() || ours.value->kind == v->kind)) last = std::move(own);
   }
   if (out->alternatives.empty()) {
-    if (v->kind == Kind::structure && !last.empty()) {
+    if ((v->kind == Kind::structure || v->kind == Kind::list) && !last.empty()) {
       faults.insert(faults.end(), last.begin(), last.end());
       return bottom(v->place);
     }
@@ -300,9 +300,10 @@
   return out;
 }
 
-Ref settle(const Ref &value, const std::string &path, Faults &faults) {
+Ref settle(const Ref &value, const std::string &path, Faults &faults, const Place &within) {
   auto open = [&](const std::string &what) {
-    faults.push_back({value->place, path, what, "nothing that settles it"});
+    // What is missing is missing in the struct that was written, not in the schema that asks for it.
+    faults.push_back({within.line ? within : value->place, path, what, "nothing that settles it"});
     return bottom(value->place);
   };
   if (value->kind == Kind::constraint) return open(describe(*value));
@@ -312,12 +313,12 @@
       if (one.preferred) candidates.push_back(one.value);
     }
     if (candidates.size() != 1) return open(describe(*value));
-    return settle(candidates[0], path, faults);
+    return settle(candidates[0], path, faults, within);
   }
   auto out = std::make_shared<Value>(*value);
   out->rest = out->pattern = nullptr;
   for (std::size_t i = 0; i < out->items.size(); ++i)
-    out->items[i] = settle(out->items[i], path + "[" + std::to_string(i) + "]", faults);
+    out->items[i] = settle(out->items[i], path + "[" + std::to_string(i) + "]", faults, value->place);
   std::erase_if(out->fields, [](const auto &f) {
     return f.second.kind == FieldKind::optional || f.first.starts_with('#');
   });
@@ -326,7 +327,7 @@
     if (field.kind == FieldKind::required)
       faults.push_back({value->place, here, describe(*field.value), "no such field"});
     else
-      field.value = settle(field.value, here, faults);
+      field.value = settle(field.value, here, faults, value->place);
   }
   return out;
 }
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -120,7 +120,8 @@
 TEST_CASE("out of descriptors on accept: those open go on, accepting comes back by itself") {
   Echo echo;
   RawPeer before(echo.io, echo.server.local());
-  run_until(echo.io, [&] { return echo.server.connections() == 1; });
+  before.say("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(run_until(echo.io, [&] { return before.count("200 OK") == 1; }));
   RawPeer waiting(echo.io, echo.server.local()); // in the backlog
   rlimit was{};
   getrlimit(RLIMIT_NOFILE, &was);
@@ -131,7 +132,7 @@
   run_for(echo.io, 0.15);
   auto faults = echo.server.counters().accept_faults;
   before.say("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
-  bool served = run_until(echo.io, [&] { return before.count("200 OK") == 1; });
+  bool served = run_until(echo.io, [&] { return before.count("200 OK") == 2; });
   setrlimit(RLIMIT_NOFILE, &was);
   CHECK(faults > 0);
   CHECK(served);
