--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -7,3 +7,15 @@
 target_include_directories(snowshore_edge_tests PRIVATE tests)
 target_link_libraries(snowshore_edge_tests PRIVATE snowshore_edge snowshore_lab_parts Catch2::Catch2)
 add_test(NAME snowshore_edge_tests COMMAND snowshore_edge_tests)
+
+# Days on loopback: every kind of trouble and the bad day, three seeds each. Mostly waiting, so many run at a time.
+file(GLOB days CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/days/*.cue)
+foreach(day ${days})
+  get_filename_component(name ${day} NAME_WE)
+  foreach(seed 1 2 3)
+    add_test(NAME day.${name}.${seed}
+             COMMAND snowshore-lab day ${day} --seed ${seed} --out ${CMAKE_BINARY_DIR}/days/${name}-${seed})
+    set_tests_properties(day.${name}.${seed} PROPERTIES LABELS days TIMEOUT 120)
+  endforeach()
+  set_tests_properties(day.${name}.1 PROPERTIES COST 10)
+endforeach()
--- /dev/null
+++ b/tests/fuzz/corpus/json.cue
@@ -0,0 +1,1 @@
+{"a": [1, 2.5e3, "x\u00e9", null], "b": {"c d": true}}
--- /dev/null
+++ b/tests/fuzz/corpus/quiet.cue
@@ -0,0 +1,2 @@
+// Nothing goes wrong.
+name: "quiet"
--- /dev/null
+++ b/tests/fuzz/fuzz_records.cpp
@@ -0,0 +1,23 @@
+// Any text is read as records or refused with places; what is read renders to text that reads back equal.
+#include "records/records.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+using namespace snowshore::records;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) {
+  Source files[] = {{"fuzz.cue", std::string(reinterpret_cast<const char *>(data), size)}};
+  try {
+    Ref value = evaluate(files);
+    Faults faults;
+    Ref settled = settle(value, "", faults);
+    if (!faults.empty()) return 0;
+    Source again[] = {{"again.cue", render(*settled)}};
+    Faults none;
+    if (!equal(*settle(evaluate(again), "", none), *settled) || !none.empty()) std::abort();
+  } catch (const RecordError &error) {
+    if (error.faults.empty()) std::abort();
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_wire.cpp
@@ -0,0 +1,51 @@
+// Bytes from the network: HTTP messages, hints, report lines. Nothing crashes, nothing is read past its end,
+// and what was cut in two reads the same.
+#include "hints/hints.h"
+#include "http/message.h"
+#include "serverwire/protocol.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+using namespace snowshore;
+
+static int statuses(std::string_view all, std::size_t cut, http::MessageReader::Kind kind) {
+  http::MessageReader reader(kind, {256, 64});
+  int sum = 0;
+  for (std::string_view part : {all.substr(0, cut), all.substr(cut)}) {
+    while (!part.empty()) {
+      std::size_t taken = 0;
+      auto progress = reader.feed(part, taken);
+      if (taken > part.size()) std::abort();
+      part.remove_prefix(taken);
+      if (progress == http::MessageReader::Progress::failed) return sum * 1000 + reader.failure_status();
+      if (progress == http::MessageReader::Progress::complete)
+        ++sum, reader.next();
+      else if (taken == 0)
+        break;
+    }
+  }
+  return sum;
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) {
+  std::string_view text(reinterpret_cast<const char *>(data), size);
+  for (auto kind : {http::MessageReader::Kind::request, http::MessageReader::Kind::response}) {
+    int whole = statuses(text, text.size(), kind);
+    if (whole != statuses(text, text.size() / 2, kind)) std::abort();
+  }
+  hints::Cmcd hints;
+  hints::read_cmcd(text, hints);
+  hints::Cmcd back;
+  hints::read_cmcd(hints::write_cmcd(hints), back);
+  if (back.malformed || back.top_kbps.has_value() != hints.top_kbps.has_value()) std::abort();
+  hints::read_cmsd(text);
+  if (auto report = serverwire::read_report(text)) {
+    std::string line = serverwire::write_report(*report);
+    line.pop_back();
+    auto again = serverwire::read_report(line);
+    if (!again || again->kind != report->kind || again->play != report->play) std::abort();
+  }
+  http::decode(text);
+  return 0;
+}
--- a/tests/lab/test_judge.cpp
+++ b/tests/lab/test_judge.cpp
@@ -82,6 +82,10 @@
             [](Written &w) {
               w.fleet("front_stall", 2), w.fleet("front_go_on", 4.4), w.ask(1, 1), w.told(1, 4.5, 503, "p");
             }},
+           {"a late answer of a front that went on in time", 1,
+            [](Written &w) {
+              w.fleet("front_stall", 2), w.fleet("front_go_on", 3.5), w.ask(1, 1), w.told(1, 4.5, 503, "p");
+            }},
            {"connection lost without an answer", 1,
             [](Written &w) {
               w.ask(1, 1);
