--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -121,6 +121,6 @@
 
 // The program's main job: reads the records, serves until SIGTERM, reloads on SIGHUP. The process's exit
 // code.
-int run_edge(const std::vector<std::string> &record_files);
+int run_edge(const std::vector<std::string> &record_files, MakeFront make = make_front);
 
 } // namespace snowshore::edge
--- a/src/edge/run.cpp
+++ b/src/edge/run.cpp
@@ -23,14 +23,14 @@
 
 } // namespace
 
-int run_edge(const std::vector<std::string> &files) {
+int run_edge(const std::vector<std::string> &files, MakeFront make) {
   try {
     FrontRecord record = site::load_front(files);
     telemetry::Log log(record.log_where, telemetry::level_of(record.log_level));
     asio::io_context io(1);
     auto source = watch_files(io, record.list_file, record.catalogue_file);
     std::string ports = record.ports_file;
-    Edge edge(io, std::move(record), log, std::move(source));
+    Edge edge(io, std::move(record), log, std::move(source), std::move(make));
     write_ports(ports, edge);
     log.info("serving", {{"players", edge.players().port()}, {"operators", edge.operators().port()}});
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -295,7 +295,8 @@
   std::shared_ptr<ServerConnection> longest;
   for (const auto &connection : connections_) {
     if (connection->state() != ServerConnection::State::reading) continue;
-    if (since(connection->changed()) < (connection->idle() && !connection->used() ? kNeverAsked : kUsedIdle)) continue;
+    if (since(connection->changed()) < (connection->idle() && !connection->used() ? kNeverAsked : kUsedIdle))
+      continue;
     bool first = !longest || (longest->used() && !connection->used()) ||
                  (longest->used() == connection->used() && connection->changed() < longest->changed());
     if (first && !connection->has_unread()) longest = connection;
--- /dev/null
+++ b/src/lab/load.cpp
@@ -0,0 +1,339 @@
+#include "lab/load.h"
+#include "hints/hints.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "serverwire/protocol.h"
+
+#include <boost/random/exponential_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <csignal>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace snowshore::lab {
+
+namespace {
+
+namespace fs = std::filesystem;
+using Clock = std::chrono::steady_clock;
+
+double seconds_since(Clock::time_point then) {
+  return std::chrono::duration<double>(Clock::now() - then).count();
+}
+Clock::duration span(double seconds) {
+  return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+}
+http::Endpoint loopback() { return {asio::ip::address_v4::loopback(), 0}; }
+
+// Servers on a thread of their own: each set-up is answered at once, each play ended by a report after its
+// time.
+class LightServers {
+ public:
+  LightServers(int count, double hold) : hold_(hold), timer_(io_) {
+    http::ServerLimits limits;
+    limits.connections = 100000, limits.header_time = limits.idle_time = 600;
+    for (int s = 0; s < count; ++s) {
+      streams_.push_back(nullptr);
+      servers_.push_back(std::make_unique<http::Server>(
+          io_, loopback(), limits,
+          [this, s](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
+            on(s, request, exchange);
+          }));
+    }
+    tick();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~LightServers() {
+    asio::post(io_, [this] {
+      timer_.cancel();
+      for (auto &server : servers_) server->stop();
+      io_.stop();
+    });
+    thread_.join();
+  }
+  unsigned short port(int s) const { return servers_[static_cast<std::size_t>(s)]->local().port(); }
+  void end_all() {
+    asio::post(io_, [this] { hold_ = 0; });
+  }
+
+ private:
+  struct Held {
+    Clock::time_point from;
+    int server;
+    std::string play;
+  };
+  void on(int s, const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
+    http::Response response;
+    hints::CmsdLoad load;
+    load.link = load.uplink = 0.01;
+    response.headers.add("CMSD-Dynamic", hints::write_cmsd("s" + std::to_string(s), load));
+    auto play = serverwire::play_of(request.path);
+    if (request.method == "POST" && play) {
+      response.status = 201;
+      held_.push_back({Clock::now(), s, *play});
+      return exchange->answer(response);
+    }
+    if (request.path.starts_with("/fronts/")) {
+      exchange->open_stream(response);
+      serverwire::Report hello;
+      hello.kind = serverwire::Report::Kind::hello, hello.started = 1;
+      exchange->write(serverwire::write_report(hello));
+      streams_[static_cast<std::size_t>(s)] = exchange;
+      return;
+    }
+    exchange->answer(response);
+  }
+  void tick() {
+    timer_.expires_after(std::chrono::milliseconds(20));
+    timer_.async_wait([this](asio::error_code error) {
+      if (error) return;
+      for (int most = 2000; most > 0 && !held_.empty() && seconds_since(held_.front().from) >= hold_;
+           --most) {
+        serverwire::Report report;
+        report.kind = serverwire::Report::Kind::end, report.play = held_.front().play, report.reason = "done";
+        auto &stream = streams_[static_cast<std::size_t>(held_.front().server)];
+        if (!stream) break; // its report stream is not there yet
+        stream->write(serverwire::write_report(report));
+        held_.pop_front();
+      }
+      if (++beats_ % 25 == 0) {
+        for (auto &stream : streams_) {
+          if (stream) stream->write(serverwire::write_report({}));
+        }
+      }
+      tick();
+    });
+  }
+
+  asio::io_context io_{1};
+  double hold_;
+  asio::steady_timer timer_;
+  std::vector<std::unique_ptr<http::Server>> servers_;
+  std::vector<std::shared_ptr<http::Exchange>> streams_;
+  std::deque<Held> held_;
+  std::uint64_t beats_ = 0;
+  std::thread thread_;
+};
+
+struct Child {
+  pid_t pid = 0;
+  ~Child() {
+    if (pid <= 0) return;
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+  }
+  double cpu() const { // user and system seconds
+    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(in)), {});
+    std::istringstream rest(text.substr(text.rfind(')') + 2));
+    std::string word;
+    double user = 0, system = 0;
+    for (int i = 0; i < 11; ++i) rest >> word;
+    rest >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+  }
+  double memory() const {
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(in, line)) {
+      if (line.starts_with("VmRSS:")) return std::stod(line.substr(6)) * 1024;
+    }
+    return 0;
+  }
+};
+
+struct Scraped { // of the front's metrics
+  double decision_sum = 0, added_count = 0, open = 0;
+  std::vector<std::pair<double, double>> added; // bound, cumulative count
+};
+
+Scraped scrape(const std::string &text) {
+  Scraped out;
+  std::istringstream in(text);
+  std::string line;
+  while (std::getline(in, line)) {
+    double value = line.empty() || line[0] == '#' ? 0 : std::stod(line.substr(line.rfind(' ') + 1));
+    if (line.starts_with("snowshore_decision_seconds_sum")) out.decision_sum = value;
+    if (line.starts_with("snowshore_plays_open")) out.open += value;
+    if (line.starts_with("snowshore_added_seconds_bucket{le=\"")) {
+      std::string bound = line.substr(35, line.find('"', 35) - 35);
+      out.added.emplace_back(bound == "+Inf" ? INFINITY : std::stod(bound), value);
+    }
+  }
+  return out;
+}
+
+double of_histogram(const Scraped &from, const Scraped &to, double part) { // linear within a bucket
+  if (to.added.empty()) return 0;
+  auto count = [&](std::size_t i) {
+    return to.added[i].second - (i < from.added.size() ? from.added[i].second : 0);
+  };
+  double wanted = part * count(to.added.size() - 1), before = 0, low = 0;
+  for (std::size_t i = 0; i < to.added.size(); ++i) {
+    double here = count(i), high = to.added[i].first;
+    if (here >= wanted)
+      return std::isinf(high) ? low : low + (high - low) * (wanted - before) / std::max(1.0, here - before);
+    before = here, low = high;
+  }
+  return low;
+}
+
+double quantile(std::vector<double> &values, double part) {
+  if (values.empty()) return 0;
+  auto place = values.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), place, values.end());
+  return *place;
+}
+
+void write_files(const LoadOptions &o, const LightServers &servers) {
+  fs::create_directories(o.folder);
+  std::ofstream front(o.folder + "/front.cue");
+  front << "name: \"load\"\nseed: 7\nlisten: {players: \"127.0.0.1:0\", operators: \"127.0.0.1:0\", "
+           "ports_file: \""
+        << o.folder << "/ports.json\"}\nlist: {file: \"" << o.folder << "/list.cue\", catalogue: \""
+        << o.folder << "/catalogue.cue\"}\n"
+        << "fleet: {cells: 10, kinds: [{name: \"k\", places: 100000}], link_per_weight: \"1000000MB/s\"}\n"
+        << "products: [{name: \"clip\", first_frame_target: \"2s\", time_limit: \"4s\", top: 3}]\n"
+        << "rungs: [{rate: \"100kB/s\", importance: 0.2}, {rate: \"200kB/s\", importance: 0.5}, {rate: "
+           "\"400kB/s\", importance: "
+           "0.8}, {rate: \"800kB/s\", importance: 1}]\n"
+        << "load: may_probe: false\nrules: {warm_up: \"1ms\", cold_share: 1, fall_multiple: 1000, fall_span: "
+           "\"1s\"}\n"
+        << "limits: {open_plays: 1000000, server_connections: 512, all_connections: 16000}\n"
+        << "log: {where: \"" << o.folder << "/log.jsonl\", level: \"warning\"}\n";
+  std::ofstream list(o.folder + "/list.cue");
+  list << "version: 1\nservers: [\n";
+  for (int s = 0; s < o.servers; ++s)
+    list << "  {id: \"s" << s << "\", address: \"127.0.0.1:" << servers.port(s)
+         << "\", kind: \"k\", cell: " << s % 10 << "},\n";
+  list << "]\n";
+  std::ofstream catalogue(o.folder + "/catalogue.cue");
+  catalogue << "version: 1\ntitles: {\n";
+  for (int t = 0; t < 200; ++t) catalogue << "  t" << t << ": {cell: " << t % 10 << ", cells: 3}\n";
+  catalogue << "}\n";
+}
+
+} // namespace
+
+LoadFigures measure(const LoadOptions &options) {
+  LightServers servers(options.servers, options.keep ? 1e9 : options.hold);
+  fs::remove(options.folder + "/ports.json"); // of an earlier measurement
+  write_files(options, servers);
+  Child front;
+  front.pid = fork();
+  if (front.pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    close_range(3, ~0U, 0);
+    std::string record = options.folder + "/front.cue";
+    std::vector<char *> words;
+    for (const std::string &word : options.command) words.push_back(const_cast<char *>(word.c_str()));
+    words.push_back(record.data());
+    words.push_back(nullptr);
+    execv(words[0], words.data());
+    _exit(127);
+  }
+
+  asio::io_context io(1);
+  http::ClientLimits limits;
+  limits.per_server = limits.in_all = 100000, limits.connect_time = 5;
+  http::Client client(io, limits);
+  auto run_for = [&](double seconds) {
+    io.restart();
+    io.run_for(span(seconds));
+  };
+  nlohmann::json ports;
+  for (auto from = Clock::now(); !ports.is_object(); run_for(0.02)) {
+    std::ifstream in(options.folder + "/ports.json");
+    if (in) ports = nlohmann::json::parse(in, nullptr, false);
+    if (seconds_since(from) > 10) throw std::runtime_error("the front did not come up");
+  }
+  http::Endpoint players{asio::ip::address_v4::loopback(), ports["players"].get<unsigned short>()};
+  http::Endpoint operators{asio::ip::address_v4::loopback(), ports["operators"].get<unsigned short>()};
+  auto metrics = [&] {
+    std::string text;
+    bool done = false;
+    http::Request request;
+    request.target = "/metrics";
+    client.send(operators, request, 20,
+                [&](const http::Result &result) { text = result.response.body, done = true; });
+    while (!done) run_for(0.005);
+    return scrape(text);
+  };
+  run_for(0.5);
+
+  LoadFigures out;
+  std::minstd_rand chance(static_cast<std::uint32_t>(options.seed));
+  boost::random::exponential_distribution<> gap(options.rate);
+  boost::random::uniform_int_distribution<> title(0, 199);
+  std::vector<double> answers;
+  out.memory_empty = front.memory();
+  Scraped before = metrics();
+  double cpu_before = front.cpu();
+  std::uint64_t waiting = 0;
+  bool asking = true;
+  asio::steady_timer timer(io);
+  auto begin = Clock::now(), next = begin;
+  // Open loop: each is due at its own moment, whatever the answers do.
+  std::function<void()> arrive = [&] {
+    while (asking && next <= Clock::now()) {
+      auto due = next;
+      next += span(gap(chance));
+      http::Request request;
+      request.target =
+          "/play/t" + std::to_string(title(chance)) + "?CMCD=sid%3D%22v" + std::to_string(out.asked) + "%22";
+      ++out.asked, ++waiting;
+      client.send(players, request, 10, [&, due](const http::Result &result) {
+        --waiting;
+        answers.push_back(std::max(0.0, seconds_since(due)));
+        bool answered = result.ending == http::Ending::answered;
+        ++(answered && result.response.status == 307   ? out.plays
+           : answered && result.response.status == 503 ? out.declined
+                                                       : out.failed);
+      });
+      if (seconds_since(begin) > options.seconds) asking = false;
+    }
+    timer.expires_at(next);
+    timer.async_wait([&](asio::error_code error) {
+      if (!error && asking) arrive();
+    });
+  };
+  arrive();
+  while (asking) run_for(0.02);
+  Scraped after = metrics();
+  double cpu = front.cpu() - cpu_before;
+  for (auto from = Clock::now(); waiting > 0 && seconds_since(from) < 10;) run_for(0.02);
+  out.held = after.open;
+  out.memory_full = front.memory();
+  out.answer_p50 = quantile(answers, 0.5), out.answer_p99 = quantile(answers, 0.99);
+  out.added_p50 = of_histogram(before, after, 0.5), out.added_p99 = of_histogram(before, after, 0.99);
+  out.cpu_per_play = cpu / std::max<double>(1, static_cast<double>(out.asked));
+  out.in_module = cpu > 0 ? (after.decision_sum - before.decision_sum) / cpu : 0;
+  servers.end_all();
+  for (auto from = Clock::now(); seconds_since(from) < 60;) {
+    run_for(0.2);
+    if (metrics().open == 0) break;
+  }
+  out.memory_after = front.memory();
+  kill(front.pid, SIGTERM);
+  for (auto from = Clock::now(); seconds_since(from) < 5 && front.pid > 0; run_for(0.02)) {
+    if (waitpid(front.pid, nullptr, WNOHANG) == front.pid) front.pid = 0;
+  }
+  return out;
+}
+
+} // namespace snowshore::lab
--- a/src/records/value.h
+++ b/src/records/value.h
@@ -76,8 +76,8 @@
 // The meet of two values; what does not fit is added to faults, under path, and bottom comes back.
 Ref unify(const Ref &a, const Ref &b, const std::string &path, Faults &faults);
 
-// Choices settled by their defaults, optional fields dropped; what stays open is a fault, told at the place of the
-// struct or list that it stands within.
+// Choices settled by their defaults, optional fields dropped; what stays open is a fault, told at the place
+// of the struct or list that it stands within.
 Ref settle(const Ref &value, const std::string &path, Faults &faults, const Place &within = {});
 
 Ref close(const Ref &value); // as a definition's: closed at every depth
