Plays kept by server in the module: a review no longer walks all plays for each server

Need: measured through the sockets, a front of 280 servers stood still for 270 ms at p99 with 3,700 plays held: each review walked every play once for each server, and each asked play walked all plays.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -88,6 +88,7 @@
   int allocations = 0;
   double target_at = 0, limit_at = 0, started = -1e9, stepped_at = -1e9;
   bool may_have_run = false;
+  std::size_t place = 0;      // in its server's plays
   std::array<int, 8> tried{}; // servers already allocated to
 };
 
@@ -121,7 +122,8 @@
   ServerEntry entry;
   bool listed = false, known = false, seen_warm = false;
   Link link;
-  int rack = 0, plays = 0, out = 0; // out: allocations without outcome or start
+  int rack = 0, out = 0;  // out: allocations without outcome or start
+  std::vector<int> plays; // ours there
   double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9;
   double raised_at = -2e9, listed_at = 0; // the news it last stepped up on; when it was last seen listed
   int strikes = 0;
@@ -219,7 +221,11 @@
     if (further_span_ > 0) taken_at_.push_back(now_);
     for (Pace *pace : {&rush_, &usual_rush_}) pace->count(now_);
     become(index, PlayState::asked);
-    if (!ask_holders(index)) place(index);
+    if (ask_holders(index)) {
+      waiting_.push_back(index);
+    } else {
+      place(index);
+    }
   }
 
   void play_handed_over(int index, int server, const PlayTerms &terms) override {
@@ -295,15 +301,18 @@
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
     if (label == kPlace) {
-      for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
+      placing_.swap(waiting_);
+      std::sort(placing_.begin(), placing_.end());
+      for (int p : placing_) {
         if (plays_[at(p)].state == PlayState::asked) place(p);
       }
+      placing_.clear();
     }
     if (label != kReview) return;
     for (Link &rack : racks_) lower(rack);
     for (Server &server : servers_) {
       if (server.listed) server.listed_at = now_;
-      if (server.plays > 0) {
+      if (!server.plays.empty()) {
         lower(server.link);
         raise(server);
       } else if (server.known && now_ - server.listed_at > kForgetAfter) {
@@ -417,19 +426,22 @@
     }
   }
 
-  // The play of ours on this link whose step earns most for its rate (up) or loses least (down).
+  // The play of ours on this link whose step earns most for its rate (up) or loses least (down); of equals
+  // the one of the lowest index.
   int pick_step(const Link &link, int by) const {
     int best = -1;
     double best_earning = 0;
-    for (int p = 0; p < static_cast<int>(plays_.size()); ++p) {
-      const Play &play = plays_[at(p)];
-      if (play.state != PlayState::playing || now_ - play.stepped_at < kStepRest) continue;
-      const Server &server = servers_[at(play.server)];
-      if (&server.link != &link && &racks_[at(server.rack)] != &link) continue;
-      int rung = play.rung + by, product = play.terms.product;
-      if (rung < lowest(product) || rung > highest(play.terms)) continue;
-      double earning = earning_[at(group_of(play) + (by > 0 ? 1 : 0))] * by;
-      if (best < 0 || earning > best_earning) best = p, best_earning = earning;
+    for (const Server &server : servers_) {
+      if (server.plays.empty() || (&server.link != &link && &racks_[at(server.rack)] != &link)) continue;
+      for (int p : server.plays) {
+        const Play &play = plays_[at(p)];
+        if (play.state != PlayState::playing || now_ - play.stepped_at < kStepRest) continue;
+        int rung = play.rung + by, product = play.terms.product;
+        if (rung < lowest(product) || rung > highest(play.terms)) continue;
+        double earning = earning_[at(group_of(play) + (by > 0 ? 1 : 0))] * by;
+        if (best < 0 || earning > best_earning || (earning == best_earning && p < best))
+          best = p, best_earning = earning;
+      }
     }
     return best;
   }
@@ -464,7 +476,15 @@
     if (was_out != is_out && play.server >= 0) {
       tally(play, is_out ? 1 : -1);
       seat(play.terms) += is_out ? 1 : -1;
-      servers_[at(play.server)].plays += is_out ? 1 : -1;
+      std::vector<int> &there = servers_[at(play.server)].plays;
+      if (is_out) {
+        play.place = there.size();
+        there.push_back(index);
+      } else { // the last takes its place
+        plays_[at(there.back())].place = play.place;
+        there[play.place] = there.back();
+        there.pop_back();
+      }
     }
     if (play.server >= 0)
       servers_[at(play.server)].out +=
@@ -812,8 +832,8 @@
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
-  std::vector<int> open_; // servers that the play in hand may be sent to
-  std::vector<int> seats_held_;
+  std::vector<int> open_;                           // servers that the play in hand may be sent to
+  std::vector<int> seats_held_, waiting_, placing_; // by title and product; plays whose holders were asked
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
   double demand_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0;
