--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -384,6 +384,7 @@
 
   // Plays under way. Where a link runs short this front steps down its part of the excess.
   void lower(Link &link) {
+    if (link.capacity <= 0) return; // nothing known of it: what is told of it has no scale
     if (now_ - std::max(link.told_at, link.short_at) > kFreshNews) return;
     if (now_ - link.lowered_at < note_delay_ + kShortHolds) return; // until the news shows the last steps
     double own = gather(link, false);
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -487,3 +487,18 @@
     CHECK(stepped * 5 <= row.most);
   }
 }
+
+TEST_CASE("an uplink that is told of and of unknown size steps no play down") {
+  Scene scene(Given{{"rack_uplink", "0"}, {"load_fields", "link,uplink"}});
+  int play = scene.ask();
+  scene.front->play_starts(play, 0, 0.1);
+  scene.at(101);
+  scene.tell(play, 0.1);
+  scene.front->note_on_play(play, NoteKind::uplink_asked, 0.1);
+  scene.heard.lines.clear();
+  for (int i = 1; i < 20; ++i) {
+    scene.at(101 + 0.5 * i);
+    scene.front->timer(scene.heard.last_label);
+  }
+  CHECK(scene.heard.count("rung") == 0);
+}
