--- a/src/cli/snowshore_lab.cpp
+++ b/src/cli/snowshore_lab.cpp
@@ -34,13 +34,16 @@
               "empty MB", "full MB", "after MB");
   for (double rate = options.rate;; rate *= 2) {
     options.rate = rate;
-    lab::LoadFigures f = lab::measure(options);
-    std::printf("%-12s %7d %8.0f %8llu %8llu %9.3f %9.3f %9.3f %9.3f %9.1f %6.0f%% %8.0f %8.1f %8.1f %8.1f\n",
-                baseline ? "first holder" : "module", options.servers, rate,
-                static_cast<unsigned long long>(f.asked), static_cast<unsigned long long>(f.plays),
-                f.added_p50 * 1e3, f.added_p99 * 1e3, f.answer_p50 * 1e3, f.answer_p99 * 1e3,
-                f.cpu_per_play * 1e6, f.in_module * 100, f.held, f.memory_empty / 1e6, f.memory_full / 1e6,
-                f.memory_after / 1e6);
+    lab::LoadFigures f;
+    for (const lab::LoadFigures &one : lab::measure(options)) {
+      f = one;
+      std::printf(
+          "%-12s %7d %8.0f %8llu %8llu %9.3f %9.3f %9.3f %9.3f %9.1f %6.0f%% %8.0f %8.1f %8.1f %8.1f\n",
+          baseline ? "first holder" : "module", options.servers, rate,
+          static_cast<unsigned long long>(f.asked), static_cast<unsigned long long>(f.plays),
+          f.added_p50 * 1e3, f.added_p99 * 1e3, f.answer_p50 * 1e3, f.answer_p99 * 1e3, f.cpu_per_play * 1e6,
+          f.in_module * 100, f.held, f.memory_empty / 1e6, f.memory_full / 1e6, f.memory_after / 1e6);
+    }
     std::fflush(stdout);
     bool over = f.added_p99 > limit || f.plays < f.asked * 95 / 100 || f.cpu_per_play * rate > 0.95;
     if (!ramp || over || rate > 2e5) return 0;
@@ -93,6 +96,8 @@
   measure->add_option("--seconds", load_options.seconds, "For each pace")->capture_default_str();
   measure->add_option("--hold", load_options.hold, "Seconds that a play is held")->capture_default_str();
   measure->add_flag("--keep", load_options.keep, "Hold all plays until the last is set up, then end all");
+  measure->add_option("--rounds", load_options.rounds, "The same again on the same front")
+      ->check(CLI::Range(1, 20));
   measure->add_flag("--ramp", ramp, "Double the pace until the front's added p99 passes --limit");
   measure->add_option("--limit", limit, "Seconds")->capture_default_str();
   measure->add_flag("--baseline", baseline, "The first holder in place of the module");
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -67,8 +67,8 @@
     thread_.join();
   }
   unsigned short port(int s) const { return servers_[static_cast<std::size_t>(s)]->local().port(); }
-  void end_all() {
-    asio::post(io_, [this] { hold_ = 0; });
+  void hold(double seconds) {
+    asio::post(io_, [this, seconds] { hold_ = seconds; });
   }
 
  private:
@@ -230,7 +230,7 @@
 
 } // namespace
 
-LoadFigures measure(const LoadOptions &options) {
+std::vector<LoadFigures> measure(const LoadOptions &options) {
   LightServers servers(options.servers, options.keep ? 1e9 : options.hold);
   fs::remove(options.folder + "/ports.json"); // of an earlier measurement
   write_files(options, servers);
@@ -276,64 +276,70 @@
   };
   run_for(0.5);
 
-  LoadFigures out;
+  std::vector<LoadFigures> all;
+  double hold = options.keep ? 1e9 : options.hold;
   std::minstd_rand chance(static_cast<std::uint32_t>(options.seed));
   boost::random::exponential_distribution<> gap(options.rate);
   boost::random::uniform_int_distribution<> title(0, 199);
-  std::vector<double> answers;
-  out.memory_empty = front.memory();
-  Scraped before = metrics();
-  double cpu_before = front.cpu();
-  std::uint64_t waiting = 0;
-  bool asking = true;
-  asio::steady_timer timer(io);
-  auto begin = Clock::now(), next = begin;
-  // Open loop: each is due at its own moment, whatever the answers do.
-  std::function<void()> arrive = [&] {
-    while (asking && next <= Clock::now()) {
-      auto due = next;
-      next += span(gap(chance));
-      http::Request request;
-      request.target =
-          "/play/t" + std::to_string(title(chance)) + "?CMCD=sid%3D%22v" + std::to_string(out.asked) + "%22";
-      ++out.asked, ++waiting;
-      client.send(players, request, 10, [&, due](const http::Result &result) {
-        --waiting;
-        answers.push_back(std::max(0.0, seconds_since(due)));
-        bool answered = result.ending == http::Ending::answered;
-        ++(answered && result.response.status == 307   ? out.plays
-           : answered && result.response.status == 503 ? out.declined
-                                                       : out.failed);
+  for (int round = 0; round < options.rounds; ++round) {
+    LoadFigures out;
+    servers.hold(hold);
+    std::vector<double> answers;
+    out.memory_empty = front.memory();
+    Scraped before = metrics();
+    double cpu_before = front.cpu();
+    std::uint64_t waiting = 0;
+    bool asking = true;
+    asio::steady_timer timer(io);
+    auto begin = Clock::now(), next = begin;
+    // Open loop: each is due at its own moment, whatever the answers do.
+    std::function<void()> arrive = [&] {
+      while (asking && next <= Clock::now()) {
+        auto due = next;
+        next += span(gap(chance));
+        http::Request request;
+        request.target = "/play/t" + std::to_string(title(chance)) + "?CMCD=sid%3D%22v" +
+                         std::to_string(out.asked) + "%22";
+        ++out.asked, ++waiting;
+        client.send(players, request, 10, [&, due](const http::Result &result) {
+          --waiting;
+          answers.push_back(std::max(0.0, seconds_since(due)));
+          bool answered = result.ending == http::Ending::answered;
+          ++(answered && result.response.status == 307   ? out.plays
+             : answered && result.response.status == 503 ? out.declined
+                                                         : out.failed);
+        });
+        if (seconds_since(begin) > options.seconds) asking = false;
+      }
+      timer.expires_at(next);
+      timer.async_wait([&](asio::error_code error) {
+        if (!error && asking) arrive();
       });
-      if (seconds_since(begin) > options.seconds) asking = false;
+    };
+    arrive();
+    while (asking) run_for(0.02);
+    Scraped after = metrics();
+    double cpu = front.cpu() - cpu_before;
+    for (auto from = Clock::now(); waiting > 0 && seconds_since(from) < 10;) run_for(0.02);
+    out.held = after.open;
+    out.memory_full = front.memory();
+    out.answer_p50 = quantile(answers, 0.5), out.answer_p99 = quantile(answers, 0.99);
+    out.added_p50 = of_histogram(before, after, 0.5), out.added_p99 = of_histogram(before, after, 0.99);
+    out.cpu_per_play = cpu / std::max<double>(1, static_cast<double>(out.asked));
+    out.in_module = cpu > 0 ? (after.decision_sum - before.decision_sum) / cpu : 0;
+    servers.hold(0);
+    for (auto from = Clock::now(); seconds_since(from) < 60;) {
+      run_for(0.2);
+      if (metrics().open == 0) break;
     }
-    timer.expires_at(next);
-    timer.async_wait([&](asio::error_code error) {
-      if (!error && asking) arrive();
-    });
-  };
-  arrive();
-  while (asking) run_for(0.02);
-  Scraped after = metrics();
-  double cpu = front.cpu() - cpu_before;
-  for (auto from = Clock::now(); waiting > 0 && seconds_since(from) < 10;) run_for(0.02);
-  out.held = after.open;
-  out.memory_full = front.memory();
-  out.answer_p50 = quantile(answers, 0.5), out.answer_p99 = quantile(answers, 0.99);
-  out.added_p50 = of_histogram(before, after, 0.5), out.added_p99 = of_histogram(before, after, 0.99);
-  out.cpu_per_play = cpu / std::max<double>(1, static_cast<double>(out.asked));
-  out.in_module = cpu > 0 ? (after.decision_sum - before.decision_sum) / cpu : 0;
-  servers.end_all();
-  for (auto from = Clock::now(); seconds_since(from) < 60;) {
-    run_for(0.2);
-    if (metrics().open == 0) break;
+    out.memory_after = front.memory();
+    all.push_back(out);
   }
-  out.memory_after = front.memory();
   kill(front.pid, SIGTERM);
   for (auto from = Clock::now(); seconds_since(from) < 5 && front.pid > 0; run_for(0.02)) {
     if (waitpid(front.pid, nullptr, WNOHANG) == front.pid) front.pid = 0;
   }
-  return out;
+  return all;
 }
 
 } // namespace snowshore::lab
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -14,6 +14,7 @@
   double rate = 500, seconds = 5, hold = 2; // plays a second, for so long, each held so long
   std::uint64_t seed = 1;
   bool keep = false; // plays are held until all have been set up, then all ended
+  int rounds = 1;    // the same again on the same front: memory must not grow from one to the next
 };
 
 struct LoadFigures {
@@ -25,6 +26,6 @@
   double held = 0;                                            // plays at the fullest
 };
 
-LoadFigures measure(const LoadOptions &options); // throws std::runtime_error
+std::vector<LoadFigures> measure(const LoadOptions &options); // one a round; throws std::runtime_error
 
 } // namespace snowshore::lab
