--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -49,3 +49,8 @@
                       Boost::random)
 add_executable(snowshore-lab src/cli/snowshore_lab.cpp)
 target_link_libraries(snowshore-lab PRIVATE snowshore_lab_parts snowshore_edge)
+
+set(SNOWSHORE_PROGRAM_DIR "" CACHE PATH "Where the programs go (default: the build folder)")
+if(SNOWSHORE_PROGRAM_DIR)
+  set_target_properties(snowshore snowshore-lab PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${SNOWSHORE_PROGRAM_DIR})
+endif()
--- a/days/idlers.cue
+++ b/days/idlers.cue
@@ -1,4 +1,7 @@
-// Connections that send nothing, and requests that come a byte at a time.
+// 10,000 connections that send nothing, and requests that come a byte at a time.
 name: "idlers"
-faults: [{kind: "silent_players", at: "2s", lasts: "6s", size: 1500},
-  {kind: "slow_players", at: "3s", lasts: "6s", size: 100}, {kind: "silent_players", at: "4s", lasts: "5s", size: 1500, front: 1}]
+faults: [
+	{kind: "silent_players", at: "2s", lasts: "7s", size: 7000},
+	{kind: "slow_players", at: "3s", lasts: "6s", size: 100},
+	{kind: "silent_players", at: "4s", lasts: "5s", size: 3000, front: 1},
+]
