Transactions of the running configuration: whole or not at all, confirmed or undone

Need: the heart of the management direction, before its protocol: a change that is answered survives, one that is refused leaves nothing, one that is not confirmed is undone, also across a crash. A test found that an undoing which the front refuses lost the way back; it now keeps it and tries again after 5 s. Nothing calls it yet.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -54,3 +54,6 @@
 if(SNOWSHORE_PROGRAM_DIR)
   set_target_properties(snowshore snowshore-lab PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${SNOWSHORE_PROGRAM_DIR})
 endif()
+
+add_library(snowshore_management STATIC src/management/transaction.cpp)
+target_include_directories(snowshore_management PUBLIC src)
--- /dev/null
+++ b/src/management/transaction.cpp
@@ -0,0 +1,120 @@
+#include "management/transaction.h"
+
+#include <algorithm>
+
+namespace snowshore::management {
+
+namespace {
+constexpr double kUndoAgain = 5; // an undoing that the front refused is tried again after so long
+}
+
+const char *name_of(Refusal refusal) {
+  constexpr const char *kNames[] = {"none",        "invalid",     "stale",
+                                    "unconfirmed", "not_applied", "unknown_revision"};
+  return kNames[static_cast<int>(refusal)];
+}
+
+Answer Transactions::refused(Refusal refusal, std::string why) const {
+  return {refusal, std::move(why), history_.empty() ? 0 : running().number};
+}
+
+const Revision *Transactions::find(std::uint64_t number) const {
+  auto it =
+      std::find_if(history_.begin(), history_.end(), [&](const Revision &r) { return r.number == number; });
+  return it == history_.end() ? nullptr : &*it;
+}
+
+void Transactions::settle() {
+  become(running().confirm_by > 0 ? State::awaiting_confirmation : State::settled);
+}
+
+Answer Transactions::recover(const std::string &first, double now) {
+  history_.clear();
+  for (const Revision &revision :
+       journal_.read()) { // a revision written again (confirmed) replaces its earlier form
+    if (!history_.empty() && history_.back().number == revision.number)
+      history_.back() = revision;
+    else
+      history_.push_back(revision);
+  }
+  if (history_.empty()) return commit({1, first, "", "first start", now, 0, 0});
+  settle();
+  if (state_ == State::awaiting_confirmation && now >= running().confirm_by) return tick(now);
+  if (auto why = running_.apply(running().document)) return refused(Refusal::not_applied, *why);
+  return {Refusal::none, "", running().number};
+}
+
+// The order is the promise: what would not run is refused before it is written, what is written is in force
+// after any crash, what the front refuses all the same is followed by a revision that goes back.
+Answer Transactions::commit(Revision next) {
+  if (auto why = running_.refuse(next.document)) return refused(Refusal::invalid, *why);
+  journal_.append(next);
+  history_.push_back(next);
+  auto why = running_.apply(next.document);
+  if (!why || history_.size() == 1) {
+    settle();
+    return why ? refused(Refusal::not_applied, *why) : Answer{Refusal::none, "", next.number};
+  }
+  Revision back = history_[history_.size() - 2];
+  back.number = next.number + 1;
+  back.cause = "revision " + std::to_string(next.number) + " was not taken: " + *why;
+  back.user = next.user, back.at = next.at;
+  if (back.confirm_by > 0) { // still unconfirmed: it goes back to where it would have gone, later
+    back.confirm_by = std::max(back.confirm_by, next.at + kUndoAgain);
+  } else {
+    back.back_to = next.number - 1;
+  }
+  journal_.append(back);
+  history_.push_back(back);
+  settle();
+  return refused(Refusal::not_applied, *why);
+}
+
+Answer Transactions::set(const Change &change, double now) {
+  if (auto undone = tick(now); undone.refusal != Refusal::none) return undone;
+  if (change.read_at && *change.read_at != running().number)
+    return refused(Refusal::stale, "read at revision " + std::to_string(*change.read_at) + ", revision " +
+                                       std::to_string(running().number) + " is in force");
+  if (state_ == State::awaiting_confirmation)
+    return refused(Refusal::unconfirmed,
+                   "revision " + std::to_string(running().number) + " awaits its confirmation");
+  double confirm_by = change.confirm_within > 0 ? now + change.confirm_within : 0;
+  return commit(
+      {running().number + 1, change.document, change.user, change.cause, now, confirm_by, running().number});
+}
+
+Answer Transactions::confirm(std::uint64_t revision, const std::string &user, double now) {
+  if (auto undone = tick(now); undone.refusal != Refusal::none) return undone;
+  if (running().number != revision || state_ != State::awaiting_confirmation)
+    return refused(Refusal::unknown_revision,
+                   "revision " + std::to_string(revision) + " awaits no confirmation");
+  Revision confirmed = running();
+  confirmed.confirm_by = 0;
+  confirmed.cause += " (confirmed by " + user + ")";
+  journal_.append(confirmed);
+  history_.back() = confirmed;
+  settle();
+  return {Refusal::none, "", revision};
+}
+
+Answer Transactions::roll_back(std::uint64_t revision, const std::string &user, double now) {
+  const Revision *to = find(revision);
+  if (!to) return refused(Refusal::unknown_revision, "no revision " + std::to_string(revision));
+  return commit({running().number + 1, to->document, user,
+                 "rolled back to revision " + std::to_string(revision), now, 0, revision});
+}
+
+Answer Transactions::tick(double now) {
+  if (state_ != State::awaiting_confirmation || now < running().confirm_by)
+    return {Refusal::none, "", history_.empty() ? 0 : running().number};
+  const Revision *back = find(running().back_to);
+  if (!back) return refused(Refusal::unknown_revision, "nothing to go back to");
+  std::string cause = "revision " + std::to_string(running().number) + " was not confirmed in time";
+  return commit({running().number + 1, back->document, running().user, cause, now, 0, back->number});
+}
+
+std::optional<double> Transactions::next_due() const {
+  return state_ == State::awaiting_confirmation ? std::optional(running().confirm_by) : std::nullopt;
+}
+
+} // namespace snowshore::management
--- /dev/null
+++ b/src/management/transaction.h
@@ -0,0 +1,86 @@
+// One change of the running configuration at a time: whole or not at all, durable before it is answered,
+// undone when it is not confirmed in time. No I/O and no clock here: what is durable and what runs stand
+// behind two interfaces, times come as values (epoch seconds). Calls may throw what a Journal throws;
+// recover() then finds the old revision or the new one, whole.
+#pragma once
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snowshore::management {
+
+struct Revision {
+  std::uint64_t number = 0;
+  std::string document; // the whole configuration
+  std::string user, cause;
+  double at = 0;
+  double confirm_by = 0;     // 0: confirmed
+  std::uint64_t back_to = 0; // the revision that an unconfirmed change, or a rollback, returns to
+};
+
+class Journal { // durable: append returns once the revision would survive a crash, or throws and it may or
+                // may not
+ public:
+  virtual ~Journal() = default;
+  virtual std::vector<Revision>
+  read() const = 0; // in the order of their numbers, the last of a number in force
+  virtual void append(const Revision &revision) = 0;
+};
+
+class Running { // the front: takes a configuration whole, or refuses it and goes on with the one it has
+ public:
+  virtual ~Running() = default;
+  virtual std::optional<std::string>
+  refuse(const std::string &document) = 0; // why it would not run; none: it would
+  virtual std::optional<std::string> apply(const std::string &document) = 0; // why it was not taken
+};
+
+enum class Refusal { none, invalid, stale, unconfirmed, not_applied, unknown_revision };
+const char *name_of(Refusal refusal);
+
+struct Answer {
+  Refusal refusal = Refusal::none;
+  std::string why;
+  std::uint64_t revision = 0; // in force after the call
+};
+
+class Transactions {
+ public:
+  enum class State { empty, settled, awaiting_confirmation };
+
+  Transactions(Journal &journal, Running &running) : journal_(journal), running_(running) {}
+
+  // Reads the history and applies the revision that holds; an unconfirmed one whose time is over is undone.
+  // With no history, first becomes revision 1.
+  Answer recover(const std::string &first, double now);
+  struct Change {
+    std::string document, user, cause;
+    std::optional<std::uint64_t> read_at; // the revision that the client had read; an older one is refused
+    double confirm_within = 0;            // 0: no confirmation is asked for
+  };
+  Answer set(const Change &change, double now);
+  Answer confirm(std::uint64_t revision, const std::string &user, double now);
+  Answer roll_back(std::uint64_t revision, const std::string &user, double now); // as a new revision
+  Answer tick(double now); // undoes what was not confirmed in time
+  std::optional<double> next_due() const;
+
+  State state() const { return state_; }
+  const Revision &running() const { return history_.back(); }
+  const std::vector<Revision> &history() const { return history_; }
+
+ private:
+  Answer commit(Revision next);
+  Answer refused(Refusal refusal, std::string why) const;
+  const Revision *find(std::uint64_t number) const;
+  void become(State next) { state_ = next; } // the one place where the state changes
+  void settle();
+
+  Journal &journal_;
+  Running &running_;
+  std::vector<Revision> history_;
+  State state_ = State::empty;
+};
+
+} // namespace snowshore::management
