--- a/src/edge/channel.cpp
+++ b/src/edge/channel.cpp
@@ -1,5 +1,6 @@
 #include "edge/channel.h"
 #include "hints/hints.h"
+#include "telemetry/loop_clock.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,16 +8,12 @@
 
 namespace snowshore::edge {
 
+using telemetry::span;
+
 namespace {
 
 constexpr double kFirstPause = 0.05, kLongestPause = 1; // between attempts to open a report stream, doubling
 constexpr double kEndTime = 2; // an end or a rung that is not confirmed by then is told anew
-constexpr int kEndTries = 3;
-
-std::chrono::steady_clock::duration span(double seconds) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      std::chrono::duration<double>(seconds));
-}
 
 } // namespace
 
@@ -92,22 +89,13 @@
 }
 
 // Told up to three times: an end that is lost leaves a play on the server that nobody watches.
-void Channel::end(const std::string &play, int allocation, std::string_view reason) {
-  struct Try {
-    std::string play, reason;
-    int allocation, left;
-  };
-  auto alive = std::weak_ptr<bool>(alive_);
-  auto tell = std::make_shared<std::function<void(Try)>>();
-  *tell = [this, alive, weak = std::weak_ptr(tell)](Try one) {
-    auto request = serverwire::write_end(one.play, one.allocation, one.reason);
-    client_.send(address_, request, kEndTime,
-                 [alive, one, again = weak.lock()](const http::Result &result) mutable {
-                   if (alive.expired() || result.ending == http::Ending::answered || --one.left <= 0) return;
-                   if (again) (*again)(one);
-                 });
-  };
-  (*tell)({play, std::string(reason), allocation, kEndTries});
+void Channel::end(const std::string &play, int allocation, std::string_view reason, int tries) {
+  client_.send(address_, serverwire::write_end(play, allocation, reason), kEndTime,
+               [this, alive = std::weak_ptr<bool>(alive_), play, allocation, reason = std::string(reason),
+                tries](const http::Result &result) {
+                 if (alive.expired() || result.ending == http::Ending::answered || tries <= 1) return;
+                 end(play, allocation, reason, tries - 1);
+               });
 }
 
 void Channel::probe(std::function<void(Outcome, const LoadReport &)> done) {
@@ -130,23 +118,15 @@
 }
 
 LoadReport Channel::load_of(const http::Response &response) {
-  LoadReport report;
   auto text = response.headers.find("CMSD-Dynamic");
-  if (!text) return report;
+  if (!text) return {};
   hints::CmsdLoad load = hints::read_cmsd(*text);
   if (load.malformed && events_.malformed) events_.malformed(server_);
-  report.streams = load.streams, report.link_share = load.link_share;
-  report.link = load.link, report.uplink = load.uplink;
-  return report;
+  return load;
 }
 
 // ---- The report stream.
 
-const char *Channel::stream_state() const {
-  constexpr const char *kNames[] = {"closed", "opening", "open", "waiting"};
-  return kNames[static_cast<int>(stream_)];
-}
-
 void Channel::become(Stream next) { stream_ = next; } // the one place where the stream's state changes
 
 void Channel::follow() {
--- a/src/edge/channel.h
+++ b/src/edge/channel.h
@@ -50,12 +50,10 @@
   http::Client::Id set_up(const serverwire::SetUp &set_up, double time_out,
                           std::function<void(const SetUpResult &)> done);
   void set_rung(const std::string &play, int rung);
-  void end(const std::string &play, int allocation, std::string_view reason);
+  void end(const std::string &play, int allocation, std::string_view reason, int tries = 3);
   void probe(std::function<void(Outcome, const LoadReport &)> done);
   void follow(); // keeps the report stream open from now on
   void stop_following();
-  const char *stream_state() const;
-  double last_heard() const { return last_heard_; }
 
  private:
   enum class Stream { closed, opening, open, waiting };
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -10,15 +10,12 @@
 
 namespace snowshore::edge {
 
+using telemetry::span;
+
 namespace {
 
 constexpr double kSweepEvery = 0.01;
 
-std::chrono::steady_clock::duration span(double seconds) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      std::chrono::duration<double>(seconds));
-}
-
 http::Response plain(int status, const std::string &text) {
   http::Response response;
   response.status = status;
@@ -39,14 +36,26 @@
 
 struct Edge::Counters {
   telemetry::Metrics &m;
-  explicit Counters(telemetry::Metrics &metrics) : m(metrics) {}
+  explicit Counters(telemetry::Metrics &metrics) : m(metrics) {
+    for (std::size_t c = 0; c < kCauses; ++c) {
+      for (const char *outcome : kOutcomes)
+        by_outcome[std::pair(std::string_view(outcome), c)] =
+            &m.counter("snowshore_plays_total", "Plays answered, by outcome and cause",
+                       {{"outcome", outcome}, {"cause", name_of(static_cast<Cause>(c))}});
+    }
+    for (std::size_t o = 0; o < by_allocation.size(); ++o)
+      by_allocation[o] = &m.counter("snowshore_allocations_total", "Allocations ended or started, by outcome",
+                                    {{"outcome", std::string(given::kOutcomeNames[o])}});
+  }
+  static constexpr const char *kOutcomes[] = {"plays", "declined", "failed", "left"};
+  // Looked up once at start: the registry walks its families at each look.
+  std::map<std::pair<std::string_view, std::size_t>, prometheus::Counter *> by_outcome;
+  std::array<prometheus::Counter *, std::size(given::kOutcomeNames)> by_allocation{};
   prometheus::Counter &plays(const char *outcome, Cause cause) {
-    return m.counter("snowshore_plays_total", "Plays answered, by outcome and cause",
-                     {{"outcome", outcome}, {"cause", name_of(cause)}});
+    return *by_outcome.at({outcome, static_cast<std::size_t>(cause)});
   }
   prometheus::Counter &allocations(Outcome outcome) {
-    return m.counter("snowshore_allocations_total", "Allocations ended or started, by outcome",
-                     {{"outcome", std::string(given::name_of(outcome))}});
+    return *by_allocation[static_cast<std::size_t>(outcome)];
   }
   prometheus::Counter &ended(const char *why) {
     return m.counter("snowshore_plays_ended_total", "Plays under way that ended", {{"why", why}});
@@ -133,7 +142,6 @@
   events.catalogue = [this](Catalogue catalogue) {
     catalogue_ = std::move(catalogue);
     has_catalogue_ = true;
-    catalogue_at_ = clock_.now();
     if (has_list_ && service_ == Service::starting) service_ = Service::serving;
     log_.info("catalogue", {{"titles", catalogue_.size()}});
   };
@@ -147,7 +155,6 @@
 }
 
 Edge::~Edge() {
-  *alive_ = false;
   players_.stop();
   operators_.stop();
   channels_.clear(); // they end their streams through the client, which goes next
@@ -267,7 +274,7 @@
   HeldPlay &play = plays_.at(index);
   play.player.reset();
   if (play.state != PlayState::asked && play.state != PlayState::allocating) return;
-  counters_->plays("left", play.cause).Increment();
+  counters_->plays(play.cause == Cause::overdue ? "failed" : "left", play.cause).Increment();
   log_.info("left", {{"play", play.id}, {"state", name_of(play.state)}});
   if (play.state == PlayState::asked) {
     decide([&] { front_->viewer_left(index); }); // the module forgets it
@@ -325,7 +332,6 @@
   set_up.rung = play.rung, set_up.allocation = allocation;
   double left = std::max(0.0, play.limit_at - clock_.exact());
   set_up.expires_in = time_out > 0 ? std::min(time_out, left) : 0;
-  play.set_up_at = clock_.now();
   plays_.become(index, PlayState::allocating);
   auto done = [this, index, id = play.id, allocation](const Channel::SetUpResult &result) {
     if (plays_.find(id) == index) on_set_up_ended(index, allocation, result);
@@ -347,10 +353,11 @@
   counters_->allocations(result.outcome).Increment();
   if (!result.started) {
     play.cause = cause_of(result.outcome);
-    log_.debug("allocation", {{"play", play.id},
-                              {"server", servers_.id(play.server)},
-                              {"number", allocation},
-                              {"outcome", given::name_of(result.outcome)}});
+    if (log_.writes(telemetry::Level::debug))
+      log_.debug("allocation", {{"play", play.id},
+                                {"server", servers_.id(play.server)},
+                                {"number", allocation},
+                                {"outcome", given::name_of(result.outcome)}});
     plays_.become(index, PlayState::asked);
     decide([&] { front_->allocation_ended(index, allocation, result.outcome, false, result.load); });
     return;
@@ -367,10 +374,7 @@
                                        "&rung=" + std::to_string(play.rung));
   response.headers.add("Cache-Control", "no-store");
   response.headers.add("Snowshore-Rung", std::to_string(play.rung));
-  hints::CmsdLoad load;
-  load.streams = result.load.streams, load.link_share = result.load.link_share;
-  load.link = result.load.link, load.uplink = result.load.uplink;
-  response.headers.add("CMSD-Dynamic", hints::write_cmsd(servers_.id(play.server), load));
+  response.headers.add("CMSD-Dynamic", hints::write_cmsd(servers_.id(play.server), {result.load}));
   play.cause = Cause::none;
   answer(index, std::move(response), "plays");
   decide([&] { front_->play_starts(index, allocation, result.took); });
@@ -456,7 +460,7 @@
   if (timers_.empty()) return;
   timer_.expires_after(span(std::max(0.0, timers_.top().at - clock_.exact())));
   timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-    if (!error && !alive.expired() && *alive.lock()) on_timer();
+    if (!error && !alive.expired()) on_timer();
   });
 }
 
@@ -475,7 +479,7 @@
 void Edge::sweep() {
   sweep_timer_.expires_after(span(kSweepEvery));
   sweep_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-    if (error || alive.expired() || !*alive.lock()) return;
+    if (error || alive.expired()) return;
     double now = clock_.now();
     while (!limits_.empty() && limits_.top().at <= now) {
       auto [at, index, serial] = limits_.top();
@@ -679,7 +683,7 @@
   if (plays_.count(PlayState::asked) + plays_.count(PlayState::allocating) > 0) {
     timer_of_drain_.expires_after(span(kSweepEvery));
     timer_of_drain_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-      if (!error && !alive.expired() && *alive.lock()) check_drained();
+      if (!error && !alive.expired()) check_drained();
     });
     return;
   }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -112,7 +112,7 @@
   Channel::Events channel_events_;
   Catalogue catalogue_;
   std::uint64_t list_version_ = 0;
-  double list_at_ = 0, catalogue_at_ = 0;
+  double list_at_ = 0;
   bool has_list_ = false, has_catalogue_ = false;
   Service service_ = Service::starting;
   std::function<void()> drained_;
--- a/src/edge/plays.h
+++ b/src/edge/plays.h
@@ -27,6 +27,7 @@
   error,       // or was answered with an error
   overdue,     // the front's own guard: the time limit had passed without an answer
 };
+inline constexpr std::size_t kCauses = 8;
 const char *name_of(Cause cause);
 Cause cause_of(Outcome outcome);
 
@@ -38,7 +39,7 @@
   int allocation = -1;       // the number of the last one
   std::uint64_t serial = 0;  // of all plays that this front took
   std::uint64_t request = 0; // the client's, while allocating
-  double asked_at = 0, limit_at = 0, set_up_at = 0, started_at = 0;
+  double asked_at = 0, limit_at = 0, started_at = 0;
   double added = 0, resumed_at = 0; // the front's own time so far; when it last took the play in hand
   Cause cause = Cause::none;
 };
--- a/src/hints/hints.h
+++ b/src/hints/hints.h
@@ -1,6 +1,7 @@
 // CMCD (CTA-5004): what a player says with a request. CMSD (CTA-5006): what a server says with an answer;
 // load is told in CMSD-Dynamic under keys of our own, prefixed by a reversed name as the document asks.
 #pragma once
+#include "decision/policy.h"
 #include "hints/structured.h"
 
 #include <optional>
@@ -28,9 +29,8 @@
 void read_cmcd(std::string_view text, Cmcd &into);
 std::string write_cmcd(const Cmcd &hints); // for the query argument, not encoded
 
-struct CmsdLoad {
-  std::optional<double> streams, link_share, link, uplink; // as LoadReport; link and uplink: asked over given
-  bool duress = false;                                     // du
+struct CmsdLoad : LoadReport {
+  bool duress = false; // du
   int malformed = 0;
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -15,6 +15,9 @@
 
 using Endpoint = asio::ip::tcp::endpoint;
 
+// Port 0: the system's choice.
+inline Endpoint loopback(unsigned short port = 0) { return {asio::ip::address_v4::loopback(), port}; }
+
 struct ServerLimits {
   ReadLimits read;
   std::size_t connections = 4096;
--- a/src/lab/judge.cpp
+++ b/src/lab/judge.cpp
@@ -379,7 +379,7 @@
                       std::to_string(floor));
     }
     for (const auto &[t, play, server, rung] : rungs_) {
-      ++verdict_.moved_rungs;
+      ++verdict_.rung_steps;
       auto it = by_play_.find(play);
       if (it == by_play_.end()) continue;
       int floor = products[product_index(allocations_[it->second.back()].product)].whole("floor");
@@ -526,7 +526,7 @@
   for (const auto &[name, count] : v.outcomes) out += " " + name + " " + std::to_string(count) + ";";
   std::snprintf(line, sizeof line, "\n  asks %llu, set-ups %llu, further %llu, steps of rung %llu\n",
                 static_cast<unsigned long long>(v.asks), static_cast<unsigned long long>(v.set_ups),
-                static_cast<unsigned long long>(v.further), static_cast<unsigned long long>(v.moved_rungs));
+                static_cast<unsigned long long>(v.further), static_cast<unsigned long long>(v.rung_steps));
   out += line;
   std::snprintf(
       line, sizeof line,
--- a/src/lab/judge.h
+++ b/src/lab/judge.h
@@ -23,7 +23,7 @@
   std::map<std::string, int> outcomes;           // of asks
   double asked = 0, served = 0;     // importance asked for; answered within the first-frame target
   std::vector<double> first_frames; // seconds, sorted
-  std::uint64_t asks = 0, plays = 0, set_ups = 0, further = 0, moved_rungs = 0;
+  std::uint64_t asks = 0, plays = 0, set_ups = 0, further = 0, rung_steps = 0;
   int kept() const;
   bool clean() const { return kept() == 6 && disagreements.empty() && other.empty(); }
 };
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -3,6 +3,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "serverwire/protocol.h"
+#include "telemetry/loop_clock.h"
 
 #include <boost/random/exponential_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
@@ -27,6 +28,8 @@
 
 namespace snowshore::lab {
 
+using telemetry::span;
+
 namespace {
 
 namespace fs = std::filesystem;
@@ -35,10 +38,6 @@
 double seconds_since(Clock::time_point then) {
   return std::chrono::duration<double>(Clock::now() - then).count();
 }
-Clock::duration span(double seconds) {
-  return std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
-}
-http::Endpoint loopback() { return {asio::ip::address_v4::loopback(), 0}; }
 
 // Servers on a thread of their own: each set-up is answered at once, each play ended by a report after its
 // time.
@@ -50,7 +49,7 @@
     for (int s = 0; s < count; ++s) {
       streams_.push_back(nullptr);
       servers_.push_back(std::make_unique<http::Server>(
-          io_, loopback(), limits,
+          io_, http::loopback(), limits,
           [this, s](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
             on(s, request, exchange);
           }));
@@ -262,8 +261,8 @@
     if (in) ports = nlohmann::json::parse(in, nullptr, false);
     if (seconds_since(from) > 10) throw std::runtime_error("the front did not come up");
   }
-  http::Endpoint players{asio::ip::address_v4::loopback(), ports["players"].get<unsigned short>()};
-  http::Endpoint operators{asio::ip::address_v4::loopback(), ports["operators"].get<unsigned short>()};
+  http::Endpoint players = http::loopback(ports["players"].get<unsigned short>());
+  http::Endpoint operators = http::loopback(ports["operators"].get<unsigned short>());
   auto metrics = [&] {
     std::string text;
     bool done = false;
--- a/src/lab/players.cpp
+++ b/src/lab/players.cpp
@@ -1,5 +1,6 @@
 #include "lab/players.h"
 #include "hints/hints.h"
+#include "lab/later.h"
 #include "site/front_record.h"
 
 #include <charconv>
@@ -7,23 +8,13 @@
 
 namespace snowshore::lab {
 
+using telemetry::span;
+
 namespace {
 
 constexpr int kTries = 4;
 constexpr double kOverLimit = 0.6; // waited beyond the time limit, so that a late answer is seen as late
 
-std::chrono::steady_clock::duration span(double seconds) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      std::chrono::duration<double>(seconds));
-}
-
-template <class F> void after(asio::io_context &io, double seconds, F f) {
-  auto timer = std::make_shared<asio::steady_timer>(io, span(seconds));
-  timer->async_wait([timer, f = std::move(f)](asio::error_code error) {
-    if (!error) f();
-  });
-}
-
 http::ClientLimits generous() {
   http::ClientLimits limits;
   limits.per_server = limits.in_all = 100000;
@@ -113,7 +104,7 @@
           watch(viewer, number, result.response.headers.find("Location").value_or(""), asked_for);
       });
   if (lot() < leavers_) {
-    after(io_, 0.005 + 0.1 * lot(), [this, id, open, number, front, name] {
+    later(io_, 0.005 + 0.1 * lot(), [this, id, open, number, front, name] {
       if (!*open || !to_fronts_[static_cast<std::size_t>(front)]->cancel(id)) return;
       *open = false;
       --waiting_;
@@ -144,7 +135,7 @@
 void Players::come_again(const std::shared_ptr<Viewer> &viewer, double pause) {
   if (viewer->tries >= kTries || lot() > day_.comes_again) return;
   viewer->again = true;
-  after(io_, pause * (0.5 + lot()), [this, viewer] { ask(viewer); });
+  later(io_, pause * (0.5 + lot()), [this, viewer] { ask(viewer); });
 }
 
 void Players::watch(const std::shared_ptr<Viewer> &viewer, std::uint64_t ask, const std::string &location,
@@ -162,7 +153,7 @@
   }
   http::Request request;
   request.target = location.substr(slash);
-  ++watching_, ++started_;
+  ++watching_;
   auto open = std::make_shared<bool>(true);
   auto there = std::make_shared<bool>(false);
   auto id = to_servers_.stream(
@@ -179,7 +170,7 @@
         trace_.put("break", {{"ask", ask}, {"ending", name_of(result.ending)}});
         come_again(viewer, day_.pause);
       });
-  after(io_, viewer->length, [this, id, open, ask] {
+  later(io_, viewer->length, [this, id, open, ask] {
     if (!*open || !to_servers_.cancel(id)) return;
     *open = false;
     --watching_;
@@ -211,7 +202,7 @@
 
 void Players::feed(std::shared_ptr<asio::ip::tcp::socket> socket, std::size_t at) {
   static const std::string kText = "GET /play/t0 HTTP/1.1\r\nHost: a\r\nX-Slow: " + std::string(2000, 'z');
-  after(io_, 0.1, [this, socket, at] {
+  later(io_, 0.1, [this, socket, at] {
     asio::error_code error;
     if (at >= kText.size() || !socket->is_open()) return;
     socket->write_some(asio::buffer(&kText[at], 1), error);
--- a/src/lab/players.h
+++ b/src/lab/players.h
@@ -35,7 +35,6 @@
   std::size_t waiting() const { return waiting_; }
   std::size_t watching() const { return watching_; }
   std::uint64_t asked() const { return asked_; }
-  std::uint64_t playing_count() const { return started_; }
 
  private:
   struct Viewer {
@@ -69,7 +68,7 @@
   bool asking_ = false;
   double crowd_rate_ = 0, leavers_ = 0;
   int crowd_titles_ = 1;
-  std::uint64_t next_viewer_ = 0, next_ask_ = 0, asked_ = 0, started_ = 0;
+  std::uint64_t next_viewer_ = 0, next_ask_ = 0, asked_ = 0;
   std::size_t waiting_ = 0, watching_ = 0;
 };
 
--- a/src/lab/run_day.cpp
+++ b/src/lab/run_day.cpp
@@ -1,4 +1,5 @@
 #include "lab/run_day.h"
+#include "lab/later.h"
 #include "lab/players.h"
 #include "lab/server.h"
 
@@ -17,17 +18,13 @@
 
 namespace snowshore::lab {
 
+using telemetry::span;
+
 namespace {
 
 namespace fs = std::filesystem;
-using serverwire::SetUp;
-
-constexpr double kTick = 0.1, kReadyWithin = 20, kEndWithin = 5, kStartsIn = 0.3;
 
-std::chrono::steady_clock::duration span(double seconds) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      std::chrono::duration<double>(seconds));
-}
+constexpr double kTick = 0.1, kReadyWithin = 20, kEndWithin = 5;
 
 void write_whole(const std::string &file, const std::string &text) { // beside, then renamed over
   std::ofstream out(file + ".new");
@@ -70,8 +67,8 @@
     std::ifstream in(folder_ + "/ports.json");
     Json ports = in ? Json::parse(in, nullptr, false) : Json();
     if (!ports.is_object()) return false;
-    players_ = {asio::ip::address_v4::loopback(), ports["players"].get<unsigned short>()};
-    operators_ = {asio::ip::address_v4::loopback(), ports["operators"].get<unsigned short>()};
+    players_ = http::loopback(ports["players"].get<unsigned short>());
+    operators_ = http::loopback(ports["operators"].get<unsigned short>());
     return has_ports_ = true;
   }
 
@@ -209,12 +206,7 @@
     }
   }
 
-  template <class F> void later(double seconds, F f) {
-    auto timer = std::make_shared<asio::steady_timer>(io_, span(seconds));
-    timer->async_wait([timer, f = std::move(f)](asio::error_code error) {
-      if (!error) f();
-    });
-  }
+  template <class F> void later(double seconds, F f) { lab::later(io_, seconds, std::move(f)); }
 
   StandInServer *add_server(int cell) {
     std::string id = "s" + std::to_string(servers_.size());
@@ -222,6 +214,7 @@
     servers_.push_back(
         std::make_unique<StandInServer>(io_, clock_, server_trace_, day_, id, cell, rack, chance_()));
     standing_.push_back("active");
+    noticed_gone_.push_back(false);
     return servers_.back().get();
   }
 
@@ -487,7 +480,7 @@
   std::vector<Uplink> racks_;
   std::vector<std::unique_ptr<StandInServer>> servers_;
   std::vector<std::string> standing_;
-  std::vector<bool> noticed_gone_ = std::vector<bool>(4096);
+  std::vector<bool> noticed_gone_; // by server
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::unique_ptr<Players> players_;
   http::Client probe_;
--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -1,5 +1,6 @@
 #include "lab/server.h"
 #include "hints/hints.h"
+#include "lab/later.h"
 
 #include <boost/random/normal_distribution.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
@@ -15,13 +16,6 @@
 constexpr double kFrontGone = 2.5;    // plays of a front without a report stream end after so long
 constexpr double kRefreshEvery = 0.2; // of what it tells as its load
 
-std::chrono::steady_clock::duration span(double seconds) {
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      std::chrono::duration<double>(seconds));
-}
-
-http::Endpoint loopback() { return {asio::ip::address_v4::loopback(), 0}; }
-
 } // namespace
 
 StandInServer::StandInServer(asio::io_context &io, telemetry::LoopClock &clock, Trace &trace, const Day &day,
@@ -42,7 +36,7 @@
   http::ServerLimits limits;
   limits.connections = 100000, limits.header_time = 60, limits.idle_time = 600;
   server_ = std::make_unique<http::Server>(
-      io_, address_.port() ? address_ : loopback(), limits,
+      io_, address_.port() ? address_ : http::loopback(), limits,
       [this](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
         on_request(request, exchange);
       });
@@ -202,10 +196,7 @@
     if (plays_.contains(id)) end_play(id, "withdrawn", false);
   };
   plays_[s.play] = std::move(play);
-  auto timer = std::make_shared<asio::steady_timer>(io_, span(takes));
-  timer->async_wait([this, timer, id = s.play](asio::error_code error) {
-    if (!error) finish_set_up(id);
-  });
+  later(io_, takes, [this, id = s.play] { finish_set_up(id); });
 }
 
 void StandInServer::finish_set_up(const std::string &id) {
@@ -213,10 +204,7 @@
   if (it == plays_.end() || it->second.playing || !up_) return;
   Play &play = it->second;
   if (mute()) { // it stands still now: the set-up is looked at again when it goes on
-    auto timer = std::make_shared<asio::steady_timer>(io_, span(0.1));
-    timer->async_wait([this, timer, id](asio::error_code error) {
-      if (!error) finish_set_up(id);
-    });
+    later(io_, 0.1, [this, id] { finish_set_up(id); });
     return;
   }
   if (clock_.now() > play.expires_at) {
@@ -250,11 +238,9 @@
     trace_.put("answer", line);
     exchange->cut();
   } else if (faults.late_by > 0) {
-    auto timer = std::make_shared<asio::steady_timer>(io_, span(faults.late_by));
     line["late_by"] = faults.late_by;
     trace_.put("answer", line);
-    timer->async_wait(
-        [timer, exchange, response = load_answer(201)](asio::error_code) { exchange->answer(response); });
+    later(io_, faults.late_by, [exchange, response = load_answer(201)] { exchange->answer(response); });
   } else {
     trace_.put("answer", line);
     exchange->answer(load_answer(201));
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -1,5 +1,5 @@
-// The structured log: one JSON object a line on standard error or a file, written by spdlog. Safe to call
-// often: what is under the level costs a comparison.
+// The structured log: one JSON object a line on standard error or a file, written by spdlog. The parts of
+// an event are made before its level is looked at: on a path that is walked often, ask writes() first.
 #pragma once
 #include <nlohmann/json.hpp>
 
--- a/src/telemetry/loop_clock.h
+++ b/src/telemetry/loop_clock.h
@@ -2,10 +2,17 @@
 // value for all that one turn of the loop finds. Fronts whose machines keep time agree on it, as turns for
 // cold servers need.
 #pragma once
+#include <algorithm>
 #include <chrono>
 
 namespace snowshore::telemetry {
 
+// Seconds as a timer's wait; never negative.
+inline std::chrono::steady_clock::duration span(double seconds) {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      std::chrono::duration<double>(std::max(0.0, seconds)));
+}
+
 class LoopClock {
  public:
   LoopClock()
--- a/tests/http/loop.h
+++ b/tests/http/loop.h
@@ -1,5 +1,7 @@
 // What the socket tests share: a loop run until something holds, and a raw peer that says what it likes.
 #pragma once
+#include "http/server.h"
+
 #include <asio.hpp>
 
 #include <chrono>
@@ -8,9 +10,7 @@
 
 namespace snowshore::testing {
 
-inline asio::ip::tcp::endpoint loopback(unsigned short port = 0) {
-  return {asio::ip::address_v4::loopback(), port};
-}
+using http::loopback;
 
 inline bool run_until(asio::io_context &io, const std::function<bool()> &holds, double seconds = 5) {
   auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
