CMCD tokens keep the limit of texts; stream type and format are tokens only

Change: a token in place of a text has the same 64 letters at most; st and sf are taken as tokens only.

--- a/src/hints/hints.cpp
+++ b/src/hints/hints.cpp
@@ -18,17 +18,22 @@
   return true;
 }
 
+constexpr std::size_t kLongestText = 64; // CTA-5004's own limit
+
+bool put_token(const Item &item, std::optional<std::string> &into) {
+  auto token = std::get_if<Token>(&item);
+  if (!token || token->text.size() > kLongestText) return false;
+  into = token->text;
+  return true;
+}
+
+// Some players leave the quotes of an id away; its limit holds either way.
 bool put_text(const Item &item, std::optional<std::string> &into) {
-  if (auto text = std::get_if<std::string>(&item)) {
-    if (text->size() > 64) return false; // CTA-5004's own limit
-    into = *text;
-    return true;
-  }
-  if (auto token = std::get_if<Token>(&item)) {
-    into = token->text;
-    return true;
-  }
-  return false;
+  auto text = std::get_if<std::string>(&item);
+  if (!text) return put_token(item, into);
+  if (text->size() > kLongestText) return false;
+  into = *text;
+  return true;
 }
 
 bool put_flag(const Item &item, bool &into) {
@@ -60,9 +65,9 @@
     } else if (member.key == "bs") {
       right = put_flag(member.value, into.starved);
     } else if (member.key == "st") {
-      right = put_text(member.value, into.stream_type);
+      right = put_token(member.value, into.stream_type);
     } else if (member.key == "sf") {
-      right = put_text(member.value, into.streaming_format);
+      right = put_token(member.value, into.streaming_format);
     } else {
       bool known = false;
       for (std::string_view key : kUnused) known = known || key == member.key;
--- a/tests/hints/test_hints.cpp
+++ b/tests/hints/test_hints.cpp
@@ -6,7 +6,7 @@
 
 TEST_CASE("CMCD: what is malformed or unknown is passed over key by key and counted") {
   struct Row {
-    const char *text;
+    std::string text;
     int malformed, unknown;
     std::optional<double> top;
     std::optional<std::string> session;
@@ -18,6 +18,7 @@
         Row{"com.other-x=3,tb=7,mtp=99999999999999999999", 1, 1, 7, {}},
         Row{"sid=\"one, two\",tb=2", 0, 0, 2, "one, two"}, Row{"tb=1,tb=2", 0, 0, 2, {}},
         Row{"tb=1,", 1, 0, 1, {}}, Row{"nor=\"..%2f3.mp4\",br=3200,bl=20,sid=tok", 0, 0, {}, "tok"},
+        Row{"sid=" + std::string(65, 'a') + ",tb=1", 1, 0, 1, {}}, Row{"st=\"v w\",sf=d", 1, 0, {}, {}},
         Row{"sid=5,su=\"yes\"", 2, 0, {}, {}}, Row{"\x01\xff", 1, 0, {}, {}}}) {
     CAPTURE(row.text);
     Cmcd hints;
