Given values change in service through one call on the module; views of servers

Need: a changed limit must reach the decision module without its forgetting what it learnt. Weighed: a fresh module fed from the old one's facts loses strikes, budgets and cold servers, or needs a second interface as wide as the first. given_changed() re-reads the values; what was learnt stays. Shown by a test over 16 values: a crowd after the change is answered letter for letter as by a front that was started with the new value and lived the same events, and otherwise than under the old one. note_delay shapes what is learnt and stays out.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -141,42 +141,10 @@
   ChernoffFront(const Given &given, std::uint64_t seed, double now, Answers &answers)
       : given_(given), answers_(answers), chance_(static_cast<std::uint32_t>(seed % 2147483646 + 1)),
         now_(now), opened_(now) {
-    rates_ = list("rung_rates");
-    rung_worth_ = list("rung_importance");
-    factors_ = list("product_rate_factors");
-    floors_ = list("product_floors");
-    tops_ = list("product_tops");
-    seats_ = list("product_seats");
-    kind_places_ = list("kind_places");
-    fronts_ = std::max(1.0, number("fronts", 1));
-    cells_ = std::max(1, static_cast<int>(number("cells", 1)));
-    warm_up_ = number("warm_up", 0);
-    may_probe_ = text("load_comes_with") != "none" && number("may_probe", 0) > 0;
-    note_delay_ = number("note_delay", 1);
-    front_index_ = static_cast<int>(number("front_index", 0));
-    allowed_ = static_cast<int>(number("allocations_per_play", 1));
-    longest_retry_after_ = number("longest_retry_after", 0);
-    fall_span_ = number("fall_span", 1);
-    cold_budget_ = number("fall_multiple", 1) * number("cold_share", 0) * fall_span_ * kColdSafety;
-    further_span_ = number("further_span", 0);
-    further_free_ = number("further_free", 0);
-    further_share_ = number("further_share", 0);
-    uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
-    products_ = static_cast<int>(number("products", 1));
-    for (int p = 0; p < products_; ++p) {
-      std::string name = "product." + std::to_string(p) + ".";
-      targets_.push_back(number(name + "first_frame_target", 1));
-      limits_.push_back(number(name + "time_limit", 4));
-      importance_.push_back(number(name + "importance", 1));
-      safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
-    }
-    if (rates_.empty() || rung_worth_.size() != rates_.size() || at(products_) != factors_.size() ||
-        factors_.size() != floors_.size() || factors_.size() != tops_.size())
-      throw std::invalid_argument("the settings' rungs and products do not match");
-    weigh_rungs();
+    read_given();
     groups_.reserve(kChangesKept + 2);
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
-    for (Link &uplink : racks_) open_link(uplink, uplinks_told_ ? number("rack_uplink", 0) : 0);
+    for (Link &uplink : racks_) open_link(uplink, uplink_given());
     if (text("list_mode") == "on_request") answers_.follow_list();
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -298,6 +266,33 @@
     if (outcome != Outcome::busy) strike(servers_[at(server)]); // a server turns probes away over its cap
   }
 
+  void given_changed(const Given &given) override {
+    given_ = given;
+    read_given();
+    for (Link &uplink : racks_) uplink.capacity = uplink_given();
+    size_links();
+    own_in_all_ = 0; // at the rates of now
+    for (const Server &server : servers_) {
+      for (std::size_t g = 0; g < server.link.own.size(); ++g)
+        own_in_all_ += server.link.own[g] * group_rate(static_cast<int>(g));
+    }
+  }
+
+  ServerView view_of(int index) const override {
+    if (index < 0 || at(index) >= servers_.size()) return {};
+    const Server &server = servers_[at(index)];
+    const Link &uplink = racks_[at(server.rack)];
+    auto age = [&](const Link &link) { return link.told_at < 0 ? -1 : now_ - link.told_at; };
+    return {server.strikes,
+            static_cast<int>(server.plays.size()),
+            now_ < server.avoid_until,
+            may_be_cold(server),
+            server.link.told,
+            age(server.link),
+            uplink.told,
+            age(uplink)};
+  }
+
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
     if (label == kPlace) {
@@ -326,6 +321,45 @@
  private:
   enum Label { kAskList = 1, kReview, kPlace };
 
+  void read_given() {
+    rates_ = list("rung_rates");
+    rung_worth_ = list("rung_importance");
+    factors_ = list("product_rate_factors");
+    floors_ = list("product_floors");
+    tops_ = list("product_tops");
+    seats_ = list("product_seats");
+    kind_places_ = list("kind_places");
+    fronts_ = std::max(1.0, number("fronts", 1));
+    cells_ = std::max(1, static_cast<int>(number("cells", 1)));
+    warm_up_ = number("warm_up", 0);
+    may_probe_ = text("load_comes_with") != "none" && number("may_probe", 0) > 0;
+    note_delay_ = number("note_delay", 1);
+    front_index_ = static_cast<int>(number("front_index", 0));
+    allowed_ = static_cast<int>(number("allocations_per_play", 1));
+    longest_retry_after_ = number("longest_retry_after", 0);
+    fall_span_ = number("fall_span", 1);
+    cold_budget_ = number("fall_multiple", 1) * number("cold_share", 0) * fall_span_ * kColdSafety;
+    further_span_ = number("further_span", 0);
+    further_free_ = number("further_free", 0);
+    further_share_ = number("further_share", 0);
+    uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
+    products_ = static_cast<int>(number("products", 1));
+    targets_.clear(), limits_.clear(), importance_.clear(), safe_.clear(), earning_.clear(),
+        strictness_.clear();
+    for (int p = 0; p < products_; ++p) {
+      std::string name = "product." + std::to_string(p) + ".";
+      targets_.push_back(number(name + "first_frame_target", 1));
+      limits_.push_back(number(name + "time_limit", 4));
+      importance_.push_back(number(name + "importance", 1));
+      safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
+    }
+    if (rates_.empty() || rung_worth_.size() != rates_.size() || at(products_) != factors_.size() ||
+        factors_.size() != floors_.size() || factors_.size() != tops_.size())
+      throw std::invalid_argument("the settings' rungs and products do not match");
+    weigh_rungs();
+  }
+  double uplink_given() const { return uplinks_told_ ? number("rack_uplink", 0) : 0; }
+
   // The ordinary path: the highest rung that passes, on the roomiest holder, or an answer at once.
   void place(int index) {
     Play &play = plays_[at(index)];
@@ -698,10 +732,8 @@
   // budget (the share a server starts with), evenly spaced; where that is under one set-up a span, fronts
   // take turns by the clock, with a span's pause between turns.
   bool cold_allows(const Server &server) const {
+    if (!may_be_cold(server)) return true;
     bool known_cold = now_ - server.cold_since < warm_up_;
-    // A front that came back has no memory: any server may be cold to it until it is seen to carry much.
-    bool may_be_cold = !handed_over_ && !server.seen_warm && now_ - opened_ < warm_up_;
-    if (!known_cold && !may_be_cold) return true;
     double span = fall_span_, budget = cold_budget_ * places_of(server) / warm_up_;
     double quiet = now_ - server.last_sent;
     if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
@@ -713,6 +745,12 @@
     return ours && now_ - beat * 2 * span < span && quiet >= span;
   }
 
+  // A front that came back has no memory: any server may be cold to it until it is seen to carry much.
+  bool may_be_cold(const Server &server) const {
+    return now_ - server.cold_since < warm_up_ ||
+           (!handed_over_ && !server.seen_warm && now_ - opened_ < warm_up_);
+  }
+
   void judge(const Play &play, Outcome outcome) {
     Server &server = servers_[at(play.server)];
     bool lost = outcome == Outcome::reset || outcome == Outcome::unreachable;
--- a/src/decision/policy.h
+++ b/src/decision/policy.h
@@ -3,6 +3,8 @@
 // happened, in order; the module answers through Answers during the call. Ids are small indices, given at the
 // door; a play's index may be given again once the module has forgotten it. Times are seconds.
 #pragma once
+#include "decision/server_view.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -85,6 +87,14 @@
   virtual void viewer_left(int play) = 0;
   virtual void probe_answered(int server, Outcome outcome, const LoadReport &report) = 0;
   virtual void timer(int label) = 0;
+
+  // Other values for what was given at the start, in force from the next call on; plays in hand keep the time
+  // limits they came with, and nothing that was learnt is lost. Rungs and products must be as many and cells,
+  // racks, load fields and the span of further allocations the same; a limit must not be under what is in
+  // use.
+  virtual void given_changed(const Given &given) = 0;
+
+  virtual ServerView view_of(int server) const = 0; // for operators; decides nothing
 };
 
 std::unique_ptr<Front> make_front(const Given &given, std::uint64_t seed, double now, Answers &answers);
--- a/src/lab/first_holder.cpp
+++ b/src/lab/first_holder.cpp
@@ -39,6 +39,8 @@
   void viewer_left(int) override {}
   void probe_answered(int, Outcome, const LoadReport &) override {}
   void timer(int) override {}
+  void given_changed(const Given &) override {}
+  ServerView view_of(int) const override { return {}; }
 
  private:
   void give_up(int play) {
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+#include <utility>
+
 using namespace snowshore;
 using namespace snowshore::testing;
 
@@ -502,3 +505,87 @@
   }
   CHECK(scene.heard.count("rung") == 0);
 }
+
+namespace {
+
+// Facts that need no decision, then the values of now, then a crowd on servers of which one is sick; what was
+// answered to the crowd.
+std::string live(const Given &from, const Given &to) {
+  Scene scene(from, 3);
+  double now = 101;
+  struct Held {
+    int play, allocation;
+  };
+  std::vector<Held> playing;
+  for (int i = 0; i < 9;
+       ++i) { // plays that the front took over, what they run at, what is told of their links
+    scene.at(now += 0.5);
+    int play = scene.next++;
+    scene.front->play_handed_over(play, i % 3, Scene::terms(i % 2, i % 4));
+    scene.front->note_on_play(play, NoteKind::rung, 1 + i % 2);
+    scene.front->note_on_play(play, NoteKind::link_asked, 0.3 + 0.05 * i);
+    playing.push_back({play, 0});
+  }
+  scene.entries[2].started = now;
+  scene.front->list_changed(ListKind::full, scene.entries);
+  if (to != from) {
+    Given next = plain_given();
+    for (const auto &[name, value] : to) next[name] = value;
+    scene.front->given_changed(next);
+  }
+  std::string answers;
+  auto told = [&] {
+    for (const std::string &line : std::exchange(scene.heard.lines, {})) answers += line + "\n";
+    answers += std::to_string(scene.heard.server) + " " + std::to_string(scene.heard.retry_after) + "\n";
+  };
+  std::minstd_rand chance(5);
+  for (int i = 0; i < 300; ++i) {
+    scene.at(now += 0.03);
+    int product = static_cast<int>(chance() % 2), title = static_cast<int>(chance() % 3);
+    int play = scene.ask_of(Scene::terms(product, title));
+    std::string asked = "allocate " + std::to_string(play);
+    for (int allocation = 0; !scene.heard.lines.empty() && scene.heard.lines.back() == asked; ++allocation) {
+      bool sick = scene.heard.server == 1 && chance() % 2 == 0;
+      told();
+      scene.at(now += 0.1);
+      if (sick) {
+        scene.front->allocation_ended(play, allocation, chance() % 2 ? Outcome::busy : Outcome::timed_out,
+                                      false, {});
+      } else {
+        scene.front->play_starts(play, allocation, 0.1);
+        scene.front->note_on_play(play, NoteKind::link_asked, 0.5 + 0.001 * i);
+        playing.push_back({play, allocation});
+      }
+    }
+    if (playing.size() > 30) {
+      scene.front->allocation_ended(playing[0].play, playing[0].allocation, Outcome::done, true, {});
+      playing.erase(playing.begin());
+    }
+    if (i % 8 == 0) scene.front->timer(2);
+    told();
+  }
+  return answers;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a value changed in service decides as if the front had started with it and lived the same events") {
+  struct Row {
+    const char *name, *from, *to;
+  };
+  for (const Row &row :
+       {Row{"product_floors", "0,1", "2,2"}, Row{"product_tops", "3,3", "1,2"},
+        Row{"product_seats", "0,0", "2,2"}, Row{"product_rate_factors", "1,1", "2,1"},
+        Row{"rung_rates", "100,200,400,800", "100,250,500,800"},
+        Row{"rung_importance", "0.2,0.5,0.8,1", "0.1,0.2,0.3,1"}, Row{"link_per_weight", "1000", "700"},
+        Row{"allocations_per_play", "3", "1"}, Row{"longest_retry_after", "1", "4"},
+        Row{"warm_up", "12", "25"}, Row{"cold_share", "0.5", "0.05"}, Row{"product.0.importance", "1", "9"},
+        Row{"product.0.set_up", "safe", "unsafe"}, Row{"product.1.first_frame_target", "1", "0.09"},
+        Row{"product.0.time_limit", "4", "0.09"}, Row{"fronts", "1", "3"}}) {
+    CAPTURE(row.name);
+    std::string started = live({{row.name, row.to}}, {{row.name, row.to}});
+    CHECK((live({{row.name, row.from}}, {{row.name, row.to}}) == started));
+    CHECK((live({{row.name, row.from}}, {{row.name, row.from}}) != started)); // the value does matter
+  }
+}
