The front's YANG model: record to document and back, edits, what a change touches

Need: limits of many fronts are read and changed through a model, whole or not at all. Change: yang/snowshore.yang names what the record names, with types, units, ranges, constraints, and per leaf when a change takes effect; src/model turns a settled record into a validated document and back, applies edits as a whole, tells what a change touches; libyang does trees, types, XPath.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -34,6 +34,18 @@
 add_library(snowshore_site STATIC src/site/front_record.cpp)
 target_link_libraries(snowshore_site PUBLIC snowshore_decision snowshore_records snowshore_http)
 
+# The YANG model goes into the program as text.
+pkg_check_modules(LIBYANG REQUIRED IMPORTED_TARGET libyang)
+set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS yang/snowshore.yang)
+file(READ ${CMAKE_SOURCE_DIR}/yang/snowshore.yang SNOWSHORE_YANG)
+configure_file(cmake/module_text.cpp.in ${CMAKE_BINARY_DIR}/module_text.cpp @ONLY)
+add_library(snowshore_model STATIC src/model/path.cpp src/model/model.cpp ${CMAKE_BINARY_DIR}/module_text.cpp)
+target_link_libraries(snowshore_model PUBLIC snowshore_records nlohmann_json::nlohmann_json PRIVATE PkgConfig::LIBYANG)
+
+pkg_check_modules(ROCKSDB REQUIRED IMPORTED_TARGET rocksdb)
+add_library(snowshore_transaction STATIC src/management/transaction.cpp)
+target_include_directories(snowshore_transaction PUBLIC src)
+
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
             src/edge/plays.cpp src/edge/edge.cpp src/edge/run.cpp)
 target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
@@ -55,5 +67,3 @@
   set_target_properties(snowshore snowshore-lab PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${SNOWSHORE_PROGRAM_DIR})
 endif()
 
-add_library(snowshore_management STATIC src/management/transaction.cpp)
-target_include_directories(snowshore_management PUBLIC src)
--- /dev/null
+++ b/src/model/model.h
@@ -0,0 +1,97 @@
+// The front's YANG model (yang/snowshore.yang, built in): data trees by libyang, the typed record as a tree
+// and back, edits, and what a change touches. A document is the configuration as JSON after RFC 7951,
+// validated, with every default written out; equal configurations are equal documents, byte for byte. No I/O
+// and no clock.
+#pragma once
+#include "model/path.h"
+#include "records/records.h"
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <optional>
+#include <span>
+
+struct ly_ctx;
+struct lyd_node;
+struct lysc_node;
+
+namespace snowshore::model {
+
+using Json = nlohmann::json;
+
+enum class TakesEffect { in_service, drained, restart }; // the model's extension takes-effect
+const char *name_of(TakesEffect when);
+
+struct Leaf { // a leaf, or a leaf-list whole; of subtrees(): any node
+  Path path;
+  Json value; // as RFC 7951 has it
+};
+
+struct Edit {
+  enum class Kind { remove, replace, update };
+  Kind kind = Kind::update;
+  Path path;
+  Json value;
+};
+
+struct Changed {
+  std::string path;
+  TakesEffect when = TakesEffect::in_service;
+  std::optional<Json> from, to; // none: not there
+};
+
+class Tree { // data that the model has read
+ public:
+  Tree() = default;
+  explicit Tree(lyd_node *root) : root_(root) {}
+  Tree(Tree &&other) noexcept : root_(std::exchange(other.root_, nullptr)) {}
+  Tree &operator=(Tree &&other) noexcept {
+    std::swap(root_, other.root_);
+    return *this;
+  }
+  ~Tree();
+  lyd_node *root() const { return root_; }
+
+ private:
+  friend class Model;
+  lyd_node *root_ = nullptr;
+};
+
+class Model { // may be used by several threads
+ public:
+  Model(); // throws std::runtime_error when the built-in module cannot be read
+  ~Model();
+  Model(const Model &) = delete;
+
+  // A settled record as a document; throws RecordError where the record holds what the model has no room for.
+  std::string document_of(const records::Record &front) const;
+  std::string record_of(const std::string &document) const; // as a record file's text
+
+  // All edits on the document, validated as a whole. Throws Fault; the document is what it was.
+  std::string edit(const std::string &document, std::span<const Edit> edits) const;
+  std::string check(const std::string &json) const; // validated and in full; throws Fault
+  std::vector<Changed> changes(const std::string &from, const std::string &to) const;
+
+  Tree read(const std::string &json) const; // state, or a document: types are checked, constraints not
+  void add(Tree &tree, const std::string &json) const;
+  std::vector<Leaf> leaves(const Tree &tree, const Path &path) const;   // at and under what the path names
+  std::vector<Leaf> subtrees(const Tree &tree, const Path &path) const; // what it names itself
+  // Throws Fault where the schema has nothing that the path could name.
+  void must_be_known(const Path &path) const;
+  bool is_configuration(const Path &path) const; // one that is known
+
+  static const char *const kName, *const kRevision, *const kOrganization;
+
+ private:
+  const lysc_node *schema_of(const Path &path) const;
+  [[noreturn]] void fail(FaultKind kind, const std::string &path) const;
+  Tree validated(Tree tree) const;
+  std::string print(const Tree &tree) const;
+  std::vector<lyd_node *> find(const Tree &tree, const Path &path) const;
+  void merge(Tree &tree, const Path &path, const Json &value) const;
+  ly_ctx *context_ = nullptr;
+  const lysc_node *front_ = nullptr;
+};
+
+} // namespace snowshore::model
--- a/src/site/front_record.cpp
+++ b/src/site/front_record.cpp
@@ -35,6 +35,7 @@
   fronts: *1 | (int & >=1)
   hall: *"" | string
   seed: *0 | (int & >=0)
+  take_plays: *true | false
   listen: {
     players: *"127.0.0.1:8080" | #Address
     operators: *"127.0.0.1:8081" | #Address
@@ -100,6 +101,22 @@
     where: *"-" | string
     level: *"info" | "debug" | "warning" | "error"
   }
+  management: {
+    listen: *"" | #Address
+    store: *"" | string
+    plaintext: *false | true
+    certificate: *"" | string
+    key: *"" | string
+    client_authority: *"" | string
+    readers: *[] | [...string]
+    setters: *[] | [...string]
+    sets_waiting: *16 | (int & >=1)
+    streams: *32 | (int & >=1 & <=1024)
+    updates_waiting: *4096 | (int & >=16)
+    behind_time: *"10s" | #Time
+    snapshot_every: *"100ms" | #Time
+    history: *1000 | (int & >=10 & <=100000)
+  }
 }
 
 #Server: {
