The store on RocksDB; a front's record changed in service or drained

Need: a change must be durable before it is answered, and reach a front without dropping a play. Change: src/store keeps revisions, synced, pruned, read back whole or refused by name; Edge::change takes a whole record: limits under what is in use are refused, a moved address keeps what was asked at the old one, values go to the module by given_changed(), other shapes wait for a drain and get a module made anew with the list in hand. Transactions tell refusals of the moment from wrong ones, may be cancelled, and try a late undoing again. Shown: a writer killed at five points, a disk that is full, a history with a gap; edge cases on real sockets.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -46,8 +46,11 @@
 add_library(snowshore_transaction STATIC src/management/transaction.cpp)
 target_include_directories(snowshore_transaction PUBLIC src)
 
+add_library(snowshore_store STATIC src/store/store.cpp)
+target_link_libraries(snowshore_store PUBLIC snowshore_transaction PRIVATE PkgConfig::ROCKSDB nlohmann_json::nlohmann_json)
+
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
-            src/edge/plays.cpp src/edge/edge.cpp src/edge/run.cpp)
+            src/edge/plays.cpp src/edge/edge.cpp src/edge/change.cpp src/edge/run.cpp)
 target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
 
 add_executable(snowshore src/cli/snowshore.cpp)
--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -1,9 +1,9 @@
 add_executable(snowshore_program_tests tests/test_main.cpp tests/records/test_records.cpp tests/http/test_http.cpp
                tests/hints/test_hints.cpp tests/management/test_transaction.cpp
-               tests/model/test_model.cpp)
+               tests/model/test_model.cpp tests/store/test_store.cpp)
 target_include_directories(snowshore_program_tests PRIVATE tests)
 target_link_libraries(snowshore_program_tests PRIVATE snowshore_records snowshore_http snowshore_hints snowshore_transaction
-                      snowshore_model snowshore_site
+                      snowshore_model snowshore_site snowshore_store
                       Catch2::Catch2)
 add_test(NAME snowshore_program_tests COMMAND snowshore_program_tests)
 add_executable(snowshore_edge_tests tests/test_main.cpp tests/edge/test_edge.cpp tests/lab/test_judge.cpp)
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -106,11 +106,7 @@
            MakeFront make)
     : io_(io), record_(std::move(record)), log_(log), counters_(std::make_unique<Counters>(metrics_)),
       timer_(io), sweep_timer_(io), timer_of_drain_(io), client_(io, record_.limits.servers),
-      source_(std::move(source)),
-      players_(io, record_.players, record_.limits.players,
-               [this](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
-                 on_player(request, exchange);
-               }),
+      source_(std::move(source)), make_(std::move(make)), players_(listen(record_)),
       operators_(io, record_.operators, record_.limits.players,
                  [this](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
                    on_operator(request, exchange);
@@ -123,7 +119,6 @@
   identity_ = {record_.name, std::string(boot, end)};
   report_times_ = {record_.limits.report_silence, record_.limits.lost_after, record_.limits.probe_time};
   for (const std::string &hall : record_.halls) halls_.index_of(hall);
-  for (const std::string &kind : record_.kinds) kinds_.index_of(kind);
   channel_events_.report = [this](int server, const serverwire::Report &report) {
     on_report(server, report);
   };
@@ -136,7 +131,8 @@
     log_.warning("server_malformed", {{"server", servers_.id(server)}});
   };
   channel_events_.late = [this](int) { counters_->late.Increment(); };
-  front_ = make(record_.given, seed_, clock_.now(), *this);
+  opened_ = clock_.now();
+  make_module();
   ListSource::Events events;
   events.list = [this](ServerList list) { on_list(std::move(list)); };
   events.catalogue = [this](Catalogue catalogue) {
@@ -155,16 +151,20 @@
 }
 
 Edge::~Edge() {
-  players_.stop();
+  players_->stop();
+  for (const auto &server : retired_) server->stop();
   operators_.stop();
   channels_.clear(); // they end their streams through the client, which goes next
 }
 
-template <class F> void Edge::decide(F call) {
-  auto from = std::chrono::steady_clock::now();
-  front_->clock(clock_.now());
-  call();
-  counters_->decision.Observe(std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count());
+void Edge::note_decision(double seconds) { counters_->decision.Observe(seconds); }
+
+std::unique_ptr<http::Server> Edge::listen(const FrontRecord &record) {
+  return std::make_unique<http::Server>(
+      io_, record.players, record.limits.players,
+      [this](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
+        on_player(request, exchange);
+      });
 }
 
 // ---- Players.
@@ -235,12 +235,12 @@
   }
   if (!request.body.empty()) return refuse("body", plain(400, "no body is due here"));
   bool full = plays_.open() >= record_.limits.open_plays;
-  if (service_ != Service::serving || full) {
+  if (service_ != Service::serving || !record_.take_plays || full) {
     http::Response response = plain(503, full ? "too many plays are held" : "not serving");
     response.headers.add("Retry-After", "1");
     return refuse(full                            ? "open_plays"
-                  : service_ == Service::draining ? "draining"
-                                                  : "starting",
+                  : service_ == Service::starting ? "starting"
+                                                  : "draining",
                   std::move(response));
   }
   std::string title = request.path.substr(kPlay.size());
@@ -322,6 +322,7 @@
 
 void Edge::allocate(int index, int server, double time_out) {
   HeldPlay &play = plays_.at(index);
+  last_allocation_ = clock_.now();
   play.server = server;
   int allocation = ++play.allocation;
   serverwire::SetUp set_up;
@@ -532,6 +533,7 @@
   bool first = !has_list_;
   has_list_ = true;
   if (has_catalogue_ && service_ == Service::starting) service_ = Service::serving;
+  list_ = std::move(list);
   decide([&] { front_->list_changed(first ? ListKind::held : ListKind::full, entries); });
 }
 
@@ -600,6 +602,13 @@
 
 // ---- Operators.
 
+std::vector<std::pair<std::string, std::uint64_t>> Edge::answers_so_far() {
+  std::map<std::string, std::uint64_t> sums;
+  for (const auto &[key, counter] : counters_->by_outcome)
+    sums[std::string(key.first)] += static_cast<std::uint64_t>(counter->Value());
+  return {sums.begin(), sums.end()};
+}
+
 std::string Edge::metrics_text() {
   for (std::size_t s = 1; s < kPlayStates; ++s)
     metrics_
@@ -609,12 +618,12 @@
   counters_->list_age.Set(has_list_ ? clock_.now() - list_at_ : -1);
   counters_->list_version.Set(static_cast<double>(list_version_));
   counters_->timers.Set(static_cast<double>(timers_.size()));
-  counters_->player_connections.Set(static_cast<double>(players_.connections()));
+  counters_->player_connections.Set(static_cast<double>(players_->connections()));
   counters_->server_connections.Set(static_cast<double>(client_.connections()));
   auto show = [&](const char *name, const char *help, std::uint64_t value) {
     metrics_.gauge(name, help).Set(static_cast<double>(value));
   };
-  const http::ServerCounters &p = players_.counters();
+  const http::ServerCounters &p = players_->counters();
   show("snowshore_player_connections_accepted", "Connections of players so far", p.accepted);
   show("snowshore_player_malformed", "Requests refused as no HTTP or over a limit of size", p.malformed);
   show("snowshore_player_slow_cut", "Connections cut for header_time or write_time", p.slow_cut);
@@ -637,10 +646,10 @@
   } else if (request.path == "/healthz") {
     exchange->answer(plain(200, "ok"));
   } else if (request.path == "/readyz") {
-    bool ready = service_ == Service::serving;
+    bool ready = service_ == Service::serving && record_.take_plays;
     exchange->answer(plain(ready ? 200 : 503, ready                           ? "ready"
-                                              : service_ == Service::draining ? "draining"
-                                                                              : "no list yet"));
+                                              : service_ == Service::starting ? "no list yet"
+                                                                              : "draining"));
   } else {
     exchange->answer(plain(404, "operators' pages: /metrics, /healthz, /readyz"));
   }
@@ -648,12 +657,8 @@
 
 std::vector<std::string> Edge::reload(const FrontRecord &next) {
   record_.limits = next.limits;
-  players_.set_limits(next.limits.players);
-  operators_.set_limits(next.limits.players);
-  client_.set_limits(next.limits.servers);
-  report_times_ = {next.limits.report_silence, next.limits.lost_after, next.limits.probe_time};
-  log_.set_level(telemetry::level_of(next.log_level));
   record_.log_level = next.log_level;
+  take_limits();
   std::vector<std::string> rest;
   if (next.given != record_.given) {
     for (const auto &[name, value] : next.given) {
@@ -687,7 +692,7 @@
     });
     return;
   }
-  players_.drain(std::exchange(drained_, nullptr));
+  players_->drain(std::exchange(drained_, nullptr));
 }
 
 } // namespace snowshore::edge
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -8,6 +8,7 @@
 #include "edge/list_source.h"
 #include "edge/plays.h"
 #include "site/front_record.h"
+#include "site/front_state.h"
 #include "telemetry/log.h"
 #include "telemetry/loop_clock.h"
 #include "telemetry/metrics.h"
@@ -34,12 +35,19 @@
        MakeFront make = make_front);
   ~Edge() override;
 
-  http::Endpoint players() const { return players_.local(); }
+  http::Endpoint players() const { return players_->local(); }
   http::Endpoint operators() const { return operators_.local(); }
   telemetry::LoopClock &clock() { return clock_; }
 
   // Limits and log level change in service. Returns what else differs and needs a restart (empty: nothing).
   std::vector<std::string> reload(const FrontRecord &next);
+  // The whole record in place of the last; why it cannot be now (then nothing has changed). drained: it
+  // changes the shape of what the module knows, so no play may be in hand; else plays in hand keep their
+  // terms. What only a new start can change must be the same.
+  std::optional<std::string> change(const FrontRecord &next, bool drained);
+  std::optional<std::string> refusal_of(const FrontRecord &next, bool drained); // the same, without doing it
+  std::function<void()> on_changed;                                             // after each change
+  site::FrontState state();
   // No new plays; done once those asked for have their answers. Plays under way end with the front.
   void drain(std::function<void()> done);
   std::string metrics_text();
@@ -73,7 +81,18 @@
   };
   enum class Service { starting, serving, draining };
 
-  template <class F> void decide(F call); // the clock set, the call made and timed
+  template <class F> void decide(F call) { // the clock set, the call made and timed
+    auto from = std::chrono::steady_clock::now();
+    front_->clock(clock_.now());
+    call();
+    note_decision(std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count());
+  }
+  void note_decision(double seconds);
+  std::unique_ptr<http::Server> listen(const FrontRecord &record);
+  std::optional<std::string> in_use(const FrontRecord &next);
+  void take_limits();
+  void make_module();
+  std::vector<std::pair<std::string, std::uint64_t>> answers_so_far();
   void on_player(const http::Request &request, const std::shared_ptr<http::Exchange> &exchange);
   void on_operator(const http::Request &request, const std::shared_ptr<http::Exchange> &exchange);
   std::optional<PlayTerms> terms_of(const http::Request &request, const std::string &title,
@@ -121,8 +140,13 @@
   asio::steady_timer timer_, sweep_timer_, timer_of_drain_;
   http::Client client_;
   std::unique_ptr<ListSource> source_;
+  MakeFront make_;
   std::unique_ptr<Front> front_;
-  http::Server players_, operators_;
+  std::unique_ptr<http::Server> players_;
+  std::vector<std::shared_ptr<http::Server>> retired_; // addresses given up, until their last answer
+  http::Server operators_;
+  ServerList list_; // in force
+  double opened_ = 0, last_allocation_ = -1e9;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/management/transaction.cpp
+++ b/src/management/transaction.cpp
@@ -9,7 +9,7 @@
 }
 
 const char *name_of(Refusal refusal) {
-  constexpr const char *kNames[] = {"none",        "invalid",     "stale",
+  constexpr const char *kNames[] = {"none",        "invalid",     "not_now",         "stale",
                                     "unconfirmed", "not_applied", "unknown_revision"};
   return kNames[static_cast<int>(refusal)];
 }
@@ -19,9 +19,13 @@
 }
 
 const Revision *Transactions::find(std::uint64_t number) const {
-  auto it =
-      std::find_if(history_.begin(), history_.end(), [&](const Revision &r) { return r.number == number; });
-  return it == history_.end() ? nullptr : &*it;
+  if (history_.empty() || number < history_.front().number || number > history_.back().number) return nullptr;
+  return &history_[static_cast<std::size_t>(number - history_.front().number)];
+}
+
+void Transactions::keep(Revision revision) {
+  history_.push_back(std::move(revision));
+  if (history_.size() > kept_) history_.erase(history_.begin());
 }
 
 void Transactions::settle() {
@@ -39,7 +43,9 @@
   }
   if (history_.empty()) return commit({1, first, "", "first start", now, 0, 0});
   settle();
-  if (state_ == State::awaiting_confirmation && now >= running().confirm_by) return tick(now);
+  if (state_ == State::awaiting_confirmation && now >= running().confirm_by) {
+    if (Answer undone = tick(now); undone.refusal == Refusal::none) return undone;
+  }
   if (auto why = running_.apply(running().document)) return refused(Refusal::not_applied, *why);
   return {Refusal::none, "", running().number};
 }
@@ -47,9 +53,9 @@
 // The order is the promise: what would not run is refused before it is written, what is written is in force
 // after any crash, what the front refuses all the same is followed by a revision that goes back.
 Answer Transactions::commit(Revision next) {
-  if (auto why = running_.refuse(next.document)) return refused(Refusal::invalid, *why);
+  if (auto no = running_.refuse(next.document)) return refused(no->refusal, no->why);
   journal_.append(next);
-  history_.push_back(next);
+  keep(next);
   auto why = running_.apply(next.document);
   if (!why || history_.size() == 1) {
     settle();
@@ -65,7 +71,7 @@
     back.back_to = next.number - 1;
   }
   journal_.append(back);
-  history_.push_back(back);
+  keep(back);
   settle();
   return refused(Refusal::not_applied, *why);
 }
@@ -97,7 +103,21 @@
   return {Refusal::none, "", revision};
 }
 
+Answer Transactions::cancel(std::uint64_t revision, const std::string &user, double now) {
+  if (auto undone = tick(now); undone.refusal != Refusal::none) return undone;
+  const Revision *back = find(running().back_to);
+  if (running().number != revision || state_ != State::awaiting_confirmation || !back)
+    return refused(Refusal::unknown_revision,
+                   "revision " + std::to_string(revision) + " awaits no confirmation");
+  return commit({running().number + 1, back->document, user,
+                 "revision " + std::to_string(revision) + " was cancelled", now, 0, back->number});
+}
+
 Answer Transactions::roll_back(std::uint64_t revision, const std::string &user, double now) {
+  if (auto undone = tick(now); undone.refusal != Refusal::none) return undone;
+  if (state_ == State::awaiting_confirmation)
+    return refused(Refusal::unconfirmed,
+                   "revision " + std::to_string(running().number) + " awaits its confirmation");
   const Revision *to = find(revision);
   if (!to) return refused(Refusal::unknown_revision, "no revision " + std::to_string(revision));
   return commit({running().number + 1, to->document, user,
@@ -110,6 +130,10 @@
   const Revision *back = find(running().back_to);
   if (!back) return refused(Refusal::unknown_revision, "nothing to go back to");
   std::string cause = "revision " + std::to_string(running().number) + " was not confirmed in time";
+  if (auto no = running_.refuse(back->document)) { // now is no time for it: tried again, not forgotten
+    history_.back().confirm_by = now + kUndoAgain;
+    return refused(no->refusal, cause + "; cannot go back yet: " + no->why);
+  }
   return commit({running().number + 1, back->document, running().user, cause, now, 0, back->number});
 }
 
--- a/src/management/transaction.h
+++ b/src/management/transaction.h
@@ -29,17 +29,22 @@
   virtual void append(const Revision &revision) = 0;
 };
 
+// invalid: never right; not_now: right, and in the way of what is in hand; not_applied: tried and taken back.
+enum class Refusal { none, invalid, not_now, stale, unconfirmed, not_applied, unknown_revision };
+const char *name_of(Refusal refusal);
+
+struct No {
+  Refusal refusal = Refusal::invalid;
+  std::string why;
+};
+
 class Running { // the front: takes a configuration whole, or refuses it and goes on with the one it has
  public:
   virtual ~Running() = default;
-  virtual std::optional<std::string>
-  refuse(const std::string &document) = 0; // why it would not run; none: it would
+  virtual std::optional<No> refuse(const std::string &document) = 0; // why it would not run; none: it would
   virtual std::optional<std::string> apply(const std::string &document) = 0; // why it was not taken
 };
 
-enum class Refusal { none, invalid, stale, unconfirmed, not_applied, unknown_revision };
-const char *name_of(Refusal refusal);
-
 struct Answer {
   Refusal refusal = Refusal::none;
   std::string why;
@@ -50,7 +55,9 @@
  public:
   enum class State { empty, settled, awaiting_confirmation };
 
-  Transactions(Journal &journal, Running &running) : journal_(journal), running_(running) {}
+  // Keeps the newest so many revisions in hand, as the journal does.
+  Transactions(Journal &journal, Running &running, std::size_t kept = 1000)
+      : journal_(journal), running_(running), kept_(kept) {}
 
   // Reads the history and applies the revision that holds; an unconfirmed one whose time is over is undone.
   // With no history, first becomes revision 1.
@@ -61,6 +68,8 @@
     double confirm_within = 0;            // 0: no confirmation is asked for
   };
   Answer set(const Change &change, double now);
+  // Undoes an unconfirmed change now, without waiting for its time.
+  Answer cancel(std::uint64_t revision, const std::string &user, double now);
   Answer confirm(std::uint64_t revision, const std::string &user, double now);
   Answer roll_back(std::uint64_t revision, const std::string &user, double now); // as a new revision
   Answer tick(double now); // undoes what was not confirmed in time
@@ -69,17 +78,19 @@
   State state() const { return state_; }
   const Revision &running() const { return history_.back(); }
   const std::vector<Revision> &history() const { return history_; }
+  const Revision *find(std::uint64_t number) const; // none: never there, or no longer kept
 
  private:
   Answer commit(Revision next);
   Answer refused(Refusal refusal, std::string why) const;
-  const Revision *find(std::uint64_t number) const;
   void become(State next) { state_ = next; } // the one place where the state changes
   void settle();
 
+  void keep(Revision revision);
   Journal &journal_;
   Running &running_;
-  std::vector<Revision> history_;
+  std::size_t kept_;
+  std::vector<Revision> history_; // in the order of their numbers, without a gap
   State state_ = State::empty;
 };
 
--- a/src/site/front_record.cpp
+++ b/src/site/front_record.cpp
@@ -193,6 +193,44 @@
   cross.finish();
 }
 
+ManagementTerms management_terms(const Record &record) {
+  auto names = [&](const char *name) {
+    std::vector<std::string> out;
+    for (const Record &one : record.items(name)) out.push_back(one.as_text());
+    return out;
+  };
+  auto size = [&](const char *name) { return static_cast<std::size_t>(record.whole(name)); };
+  ManagementTerms out;
+  out.listen = record.text("listen"), out.store = record.text("store");
+  out.certificate = record.text("certificate"), out.key = record.text("key");
+  out.client_authority = record.text("client_authority");
+  out.plaintext = record.flag("plaintext");
+  out.readers = names("readers"), out.setters = names("setters");
+  out.sets_waiting = size("sets_waiting"), out.streams = size("streams");
+  out.updates_waiting = size("updates_waiting"), out.history = size("history");
+  out.behind_time = record.seconds("behind_time"), out.snapshot_every = record.seconds("snapshot_every");
+  if (out.listen.empty()) return out;
+  Cross cross;
+  http::Endpoint at;
+  bool right = true;
+  try {
+    at = parse_endpoint(out.listen);
+  } catch (const std::invalid_argument &) {
+    right = false;
+  }
+  cross.expect(right, record, "listen", "an address and port");
+  cross.expect(!out.store.empty(), record, "store", "a folder for the store, where management listens");
+  cross.expect(!out.plaintext || !right || at.address().is_loopback(), record, "plaintext",
+               "plaintext on loopback only");
+  cross.expect(out.plaintext || !out.certificate.empty(), record, "certificate",
+               "a certificate, where plaintext is not asked for");
+  cross.expect(out.certificate.empty() || !out.key.empty(), record, "key", "the certificate's key");
+  cross.expect(out.certificate.empty() || !out.client_authority.empty(), record, "client_authority",
+               "the authority that signs clients' certificates");
+  cross.finish();
+  return out;
+}
+
 } // namespace
 
 const records::Source &front_schema() {
@@ -302,11 +340,15 @@
   for (const Record &hall : front.at("fleet").items("halls")) out.halls.push_back(hall.as_text());
   for (const Record &kind : front.at("fleet").items("kinds")) out.kinds.push_back(kind.text("name"));
   for (const Record &product : front.items("products"))
-    out.products.push_back(
-        {product.text("name"), product.seconds("time_limit"), product.number("rate_factor")});
+    out.products.push_back({product.text("name"), product.seconds("time_limit"),
+                            product.number("rate_factor"), product.whole("floor"), product.whole("top"),
+                            product.whole("seats")});
   for (const Record &rung : front.items("rungs")) out.rung_rates.push_back(rung.rate("rate"));
   out.load_in_answers = front.at("load").text("comes_with") == "answers";
   out.answer_slack = front.at("rules").seconds("answer_slack");
+  out.further_span = front.at("allocations").at("further").seconds("span");
+  out.take_plays = front.flag("take_plays");
+  out.management = management_terms(front.at("management"));
   FrontLimits &l = out.limits;
   l.players.read.header_bytes = static_cast<std::size_t>(limits.whole("header_bytes"));
   l.players.read.body_bytes = static_cast<std::size_t>(limits.whole("body_bytes"));
--- a/src/site/front_record.h
+++ b/src/site/front_record.h
@@ -17,6 +17,15 @@
   std::string name;
   double time_limit = 0; // seconds
   double rate_factor = 1;
+  int floor = 0, top = 0, seats = 0; // rungs; plays of one title, 0: as many as come
+};
+
+struct ManagementTerms { // empty listen: none
+  std::string listen, store, certificate, key, client_authority;
+  bool plaintext = false;
+  std::vector<std::string> readers, setters; // by certificate name
+  std::size_t sets_waiting = 16, streams = 32, updates_waiting = 4096, history = 1000;
+  double behind_time = 10, snapshot_every = 0.1; // seconds
 };
 
 struct FrontLimits { // each has a metric and a line in docs/operating.md
@@ -39,7 +48,9 @@
   std::vector<ProductTerms> products;
   std::vector<double> rung_rates; // kB a second
   bool load_in_answers = true;
-  double answer_slack = 0;
+  double answer_slack = 0, further_span = 0;
+  bool take_plays = true;
+  ManagementTerms management;
   FrontLimits limits;
   std::string log_where, log_level;
   records::Record record; // settled
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -371,3 +371,129 @@
     }
   }
 }
+
+namespace {
+
+site::FrontRecord with(const std::string &more) {
+  records::Source files[] = {{"front.cue", kRecord}, {"more.cue", more}};
+  return site::read_front(files);
+}
+
+std::string instead(const std::string &from, const std::string &to) { // of the scene's record
+  std::string text = kRecord;
+  text.replace(text.find(from), from.size(), to);
+  return text;
+}
+
+site::FrontRecord read_text(const std::string &text) {
+  records::Source file{"front.cue", text};
+  return site::read_front({&file, 1});
+}
+
+} // namespace
+
+TEST_CASE("a record changed in service: limits under what is in use are refused and nothing changes") {
+  EdgeScene scene;
+  RawPeer &one = scene.ask("/play/a?product=live"), &two = scene.ask("/play/b?product=clip");
+  REQUIRE(scene.until([&] { return scene.status(one) == 307 && scene.status(two) == 307; }));
+  struct Row {
+    std::string text, why;
+  };
+  for (const Row &row : {Row{"limits: open_plays: 1", "/front/limits/open_plays"},
+                         Row{"limits: connections: 1", "/front/limits/connections"}}) {
+    CAPTURE(row.why);
+    auto why = scene.edge->change(with(row.text), false);
+    REQUIRE(why);
+    CHECK(why->find(row.why) != std::string::npos);
+  }
+  for (const Row &row :
+       {Row{instead("top: 3, seats: 1", "top: 1, seats: 1"), "/front/products[name=live]/top"},
+        Row{instead("1500ms\", top: 3},", "1500ms\", top: 2},"), "/front/products[name=clip]/top"}}) {
+    CAPTURE(row.why);
+    auto why = scene.edge->change(read_text(row.text), false);
+    REQUIRE(why);
+    CHECK(why->find(row.why) != std::string::npos);
+  }
+  // Products and rungs cannot change their number while plays are in hand, nor with a port that is taken.
+  auto drained = scene.edge->change(read_text(instead("cells: 2", "cells: 4")), true);
+  REQUIRE(drained);
+  CHECK(drained->find("needs a drain: 2 plays") != std::string::npos);
+  asio::ip::tcp::acceptor taken(scene.io, loopback());
+  auto port = scene.edge->change(
+      read_text(instead("players: \"127.0.0.1:0\"",
+                        "players: \"127.0.0.1:" + std::to_string(taken.local_endpoint().port()) + "\"")),
+      false);
+  REQUIRE(port);
+  CHECK(port->find("/front/listen/players") != std::string::npos);
+  RawPeer &three = scene.ask("/play/b?product=clip"); // all as before
+  CHECK(scene.until([&] { return scene.status(three) == 307; }));
+  CHECK(scene.open() == 3);
+}
+
+TEST_CASE("a record changed in service: new plays meet the new values, plays in hand go on") {
+  EdgeScene scene;
+  RawPeer &one = scene.ask("/play/a");
+  REQUIRE(scene.until([&] { return scene.status(one) == 307; }));
+  CHECK(one.heard.find("Snowshore-Rung: 3") != std::string::npos);
+  REQUIRE_FALSE(
+      scene.edge->change(read_text(instead("name: \"paid\", first_frame_target: \"800ms\", time_limit: "
+                                           "\"1500ms\", top: 3",
+                                           "name: \"paid\", first_frame_target: \"800ms\", time_limit: "
+                                           "\"1500ms\", top: 1")),
+                         false));
+  RawPeer &two = scene.ask("/play/a?product=paid");
+  REQUIRE(scene.until([&] { return scene.status(two) == 307; }));
+  CHECK(two.heard.find("Snowshore-Rung: 1") != std::string::npos);
+  REQUIRE_FALSE(scene.edge->change(with("take_plays: false"), false));
+  RawPeer &three = scene.ask("/play/a");
+  REQUIRE(scene.until([&] { return scene.status(three) == 503; }));
+  CHECK(scene.edge->state().service == "draining");
+  CHECK(scene.open() == 2);
+}
+
+TEST_CASE("a record changed in service: the address moves, what was asked at the old one is answered there") {
+  EdgeScene scene;
+  for (auto &server : scene.servers) server->answers = false;
+  RawPeer &one = scene.ask("/play/a?product=paid");
+  REQUIRE(scene.until([&] { return scene.set_ups() == 1; }));
+  auto before = scene.edge->players();
+  unsigned short port = asio::ip::tcp::acceptor(scene.io, loopback()).local_endpoint().port();
+  std::string moved =
+      instead("players: \"127.0.0.1:0\"", "players: \"127.0.0.1:" + std::to_string(port) + "\"");
+  REQUIRE_FALSE(scene.edge->change(read_text(moved), false));
+  CHECK(scene.edge->players().port() == port);
+  FakeServer &asked = scene.server_asked();
+  asked.asked[0].exchange->answer(FakeServer::says(201));
+  CHECK(scene.until([&] { return scene.status(one) == 307; }));
+  asio::ip::tcp::socket late(scene.io);
+  asio::error_code refused;
+  late.connect(before, refused);
+  CHECK(refused);
+  for (auto &server : scene.servers) server->answers = true;
+  RawPeer &two = scene.ask("/play/a");
+  CHECK(scene.until([&] { return scene.status(two) == 307; }));
+}
+
+TEST_CASE("a record changed with the front drained: the module is made anew with the list in hand") {
+  EdgeScene scene;
+  RawPeer &one = scene.ask("/play/a");
+  REQUIRE(scene.until([&] { return scene.status(one) == 307; }));
+  std::string four =
+      instead("rungs: [{rate: \"100kB/s\", importance: 0.2}, {rate: \"200kB/s\", importance: 0.5},\n"
+              "  {rate: \"400kB/s\", importance: 0.8}, {rate: \"800kB/s\", importance: 1}]",
+              "rungs: [{rate: \"100kB/s\", importance: 0.2}, {rate: \"200kB/s\", importance: 0.5}]");
+  for (std::size_t at; (at = four.find("top: 3")) != std::string::npos;) four.replace(at, 6, "top: 1");
+  REQUIRE(scene.edge->change(read_text(four), true));
+  FakeServer &server = scene.server_asked();
+  server.tell_end(server.asked[0].set_up.play, "done");
+  REQUIRE(scene.until([&] { return scene.open() == 0; }));
+  REQUIRE_FALSE(scene.edge->change(read_text(four), true));
+  CHECK(scene.edge->state().list_version == 1);
+  scene.run_for(0.25); // a module without memory holds servers to be cold
+  RawPeer &two = scene.ask("/play/a");
+  REQUIRE(scene.until([&] { return scene.status(two) == 307; }));
+  CHECK(two.heard.find("Snowshore-Rung: 1") != std::string::npos);
+  auto state = scene.edge->state();
+  REQUIRE(state.servers.size() == 2);
+  CHECK(state.servers[0].view.plays + state.servers[1].view.plays == 1);
+}
--- a/tests/management/test_transaction.cpp
+++ b/tests/management/test_transaction.cpp
@@ -28,8 +28,8 @@
     disk.push_back(revision);
     step(); // after it, before it is known
   }
-  std::optional<std::string> refuse(const std::string &document) override {
-    return document.starts_with("bad") ? std::optional<std::string>("bad document") : std::nullopt;
+  std::optional<No> refuse(const std::string &document) override {
+    return document.starts_with("bad") ? std::optional<No>({Refusal::invalid, "bad document"}) : std::nullopt;
   }
   std::optional<std::string> apply(const std::string &document) override {
     step(); // before applying
--- /dev/null
+++ b/tests/store/test_store.cpp
@@ -0,0 +1,138 @@
+#include "store/store.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace snowshore;
+using store::Store;
+using store::StoreError;
+
+namespace {
+
+struct Folder {
+  std::string name;
+  Folder() {
+    char made[] = "/tmp/snowshore-store-XXXXXX";
+    name = mkdtemp(made);
+  }
+  ~Folder() { std::filesystem::remove_all(name); }
+};
+
+management::Revision revision(std::uint64_t number, const std::string &document = "{}") {
+  return {number, document, "ana", "test \"quoted\"", 12.5, 0, number - 1};
+}
+
+} // namespace
+
+TEST_CASE("the history comes back after a shutdown, the newest of a number in force, the oldest dropped") {
+  Folder folder;
+  {
+    Store store(folder.name, 20);
+    for (std::uint64_t i = 1; i <= 50; ++i) store.append(revision(i, "doc" + std::to_string(i)));
+    management::Revision last = revision(50, "again");
+    last.confirm_by = 99;
+    store.append(last);
+    store.put_position("noc", 17);
+    CHECK_THROWS_AS(Store(folder.name, 20), StoreError); // one process at a time
+    CHECK(Store::peek(folder.name).size() == 20);        // but another may look
+  }
+  Store store(folder.name, 20);
+  auto history = store.read();
+  REQUIRE(history.size() == 20);
+  CHECK(history.front().number == 31);
+  CHECK(history.back().document == "again");
+  CHECK(history.back().confirm_by == 99);
+  CHECK(history.back().cause == "test \"quoted\"");
+  CHECK(store.position("noc") == 17);
+  CHECK_FALSE(store.position("other"));
+  CHECK(store.text("records").empty());
+}
+
+TEST_CASE("fewer revisions kept than before: the older ones go at the opening") {
+  Folder folder;
+  {
+    Store store(folder.name, 50);
+    for (std::uint64_t i = 1; i <= 40; ++i) store.append(revision(i));
+  }
+  Store store(folder.name, 12);
+  REQUIRE(store.read().size() == 12);
+  store.append(revision(41));
+  CHECK(store.read().size() == 12);
+  CHECK(store.read().front().number == 30);
+}
+
+TEST_CASE("killed in the middle of writing: what had returned is there, whole and without a gap") {
+  for (int round = 0; round < 5; ++round) {
+    Folder folder;
+    int pipe_ends[2];
+    REQUIRE(pipe(pipe_ends) == 0);
+    pid_t child = fork();
+    if (child == 0) {
+      Store store(folder.name, 1000);
+      for (std::uint64_t i = 1; i < 100000; ++i) {
+        store.append(revision(i, std::string(3000, static_cast<char>('a' + i % 26))));
+        if (write(pipe_ends[1], &i, sizeof i) != sizeof i) _exit(1);
+      }
+      _exit(0);
+    }
+    close(pipe_ends[1]);
+    std::uint64_t returned = 0;
+    std::uint64_t until = static_cast<std::uint64_t>(3 + round * 7);
+    while (returned < until && read(pipe_ends[0], &returned, sizeof returned) == sizeof returned) {
+    }
+    kill(child, SIGKILL);
+    for (std::uint64_t next; read(pipe_ends[0], &next, sizeof next) == sizeof next;) returned = next;
+    close(pipe_ends[0]);
+    waitpid(child, nullptr, 0);
+    Store store(folder.name, 1000);
+    auto history = store.read();
+    CAPTURE(round, returned);
+    CHECK(history.size() >= returned);
+    CHECK(history.size() <= returned + 1);
+    CHECK(history.back().document == std::string(3000, static_cast<char>('a' + history.back().number % 26)));
+  }
+}
+
+TEST_CASE("a full disk refuses the write by name; with room again the store goes on from what it had") {
+  Folder folder;
+  Store store(folder.name, 1000);
+  store.append(revision(1));
+  signal(SIGXFSZ, SIG_IGN); // the limit on a file's size stands in for the disk's end
+  rlimit before{};
+  getrlimit(RLIMIT_FSIZE, &before);
+  rlimit tight = before;
+  tight.rlim_cur = 20000;
+  setrlimit(RLIMIT_FSIZE, &tight);
+  std::uint64_t taken = 1;
+  std::string why;
+  try {
+    for (; taken < 100; ++taken) store.append(revision(taken + 1, std::string(3000, 'x')));
+  } catch (const StoreError &error) {
+    why = error.what();
+  }
+  setrlimit(RLIMIT_FSIZE, &before);
+  CHECK(why.find("writing a revision") != std::string::npos);
+  store.reopen();
+  auto history = store.read();
+  CHECK(history.size() >= taken);
+  CHECK(history.size() <= taken + 1);
+  store.append(revision(history.back().number + 1));
+  CHECK(store.read().size() == history.size() + 1);
+}
+
+TEST_CASE("a history that was tampered with is told, never read as something else") {
+  Folder folder;
+  {
+    Store store(folder.name, 1000);
+    for (std::uint64_t i : {1, 2, 4}) store.append(revision(i));
+    CHECK_THROWS_WITH(store.read(), Catch::Contains("lacks revision 3"));
+  }
+  std::ofstream(folder.name + "/CURRENT") << "nothing\n";
+  CHECK_THROWS_AS(Store(folder.name, 1000), StoreError);
+}
