gNMI in the front: Capabilities, Get, Set, Subscribe; client, and the operators' commands

Need: limits and state of running fronts, read, changed and rolled back through one protocol. Change: proto/ written from the published specification; src/management holds the manager (sets in order, copies for readers, a clock that never steps back), followers (values compared, so a slow reader is owed each path once), access by certificate name, the service and a client whose watches resume; src/program runs the edge with management beside it. snowshore get, set, confirm, watch, diff, history, rollback. Seen: a set taken, refused by range, by restart class and by constraint; an unconfirmed one undone; history read from the store beside the running front.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -50,12 +50,38 @@
 target_link_libraries(snowshore_store PUBLIC snowshore_transaction PRIVATE PkgConfig::ROCKSDB nlohmann_json::nlohmann_json)
 
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
-            src/edge/plays.cpp src/edge/edge.cpp src/edge/change.cpp src/edge/run.cpp)
+            src/edge/plays.cpp src/edge/edge.cpp src/edge/change.cpp)
 target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
 
-add_executable(snowshore src/cli/snowshore.cpp)
+# gNMI, from proto/.
+find_package(Protobuf REQUIRED)
+pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++)
+pkg_check_modules(OPENSSL REQUIRED IMPORTED_TARGET libcrypto)
+find_program(GRPC_CPP_PLUGIN grpc_cpp_plugin REQUIRED)
+set(proto_out ${CMAKE_BINARY_DIR}/proto)
+file(MAKE_DIRECTORY ${proto_out})
+set(proto_sources ${proto_out}/gnmi.pb.cc ${proto_out}/gnmi.grpc.pb.cc ${proto_out}/gnmi_ext.pb.cc)
+add_custom_command(
+  OUTPUT ${proto_sources} ${proto_out}/gnmi.pb.h ${proto_out}/gnmi.grpc.pb.h ${proto_out}/gnmi_ext.pb.h
+  COMMAND protobuf::protoc -I ${CMAKE_SOURCE_DIR}/proto --cpp_out=${proto_out} --grpc_out=${proto_out}
+          --plugin=protoc-gen-grpc=${GRPC_CPP_PLUGIN} gnmi.proto gnmi_ext.proto
+  DEPENDS proto/gnmi.proto proto/gnmi_ext.proto VERBATIM)
+add_library(snowshore_proto STATIC ${proto_sources})
+target_include_directories(snowshore_proto SYSTEM PUBLIC ${proto_out})
+target_link_libraries(snowshore_proto PUBLIC protobuf::libprotobuf PkgConfig::GRPC)
+target_compile_options(snowshore_proto PRIVATE -w)
+
+add_library(snowshore_management STATIC src/management/manager.cpp src/management/follower.cpp
+            src/management/access.cpp src/management/wire.cpp src/management/service.cpp src/management/client.cpp)
+target_link_libraries(snowshore_management PUBLIC snowshore_transaction snowshore_model snowshore_store snowshore_site
+                      snowshore_proto PRIVATE PkgConfig::OPENSSL)
+
+add_library(snowshore_front_program STATIC src/program/run.cpp)
+target_link_libraries(snowshore_front_program PUBLIC snowshore_edge PRIVATE snowshore_management)
+
+add_executable(snowshore src/cli/snowshore.cpp src/cli/manage.cpp)
 target_compile_definitions(snowshore PRIVATE SNOWSHORE_VERSION="0.2.0")
-target_link_libraries(snowshore PRIVATE snowshore_edge)
+target_link_libraries(snowshore PRIVATE snowshore_front_program snowshore_management)
 
 find_package(Boost REQUIRED COMPONENTS random)
 add_library(snowshore_lab_parts STATIC src/lab/day.cpp src/lab/server.cpp src/lab/players.cpp src/lab/run_day.cpp
@@ -63,7 +89,7 @@
 target_link_libraries(snowshore_lab_parts PUBLIC snowshore_site snowshore_hints snowshore_serverwire snowshore_telemetry
                       Boost::random)
 add_executable(snowshore-lab src/cli/snowshore_lab.cpp)
-target_link_libraries(snowshore-lab PRIVATE snowshore_lab_parts snowshore_edge)
+target_link_libraries(snowshore-lab PRIVATE snowshore_lab_parts snowshore_front_program)
 
 set(SNOWSHORE_PROGRAM_DIR "" CACHE PATH "Where the programs go (default: the build folder)")
 if(SNOWSHORE_PROGRAM_DIR)
--- /dev/null
+++ b/src/cli/manage.h
@@ -0,0 +1,15 @@
+// The operators' commands that speak to a front's management: get, set, watch, diff, history, rollback,
+// confirm.
+#pragma once
+
+namespace CLI {
+class App;
+}
+
+namespace snowshore::cli {
+
+// Adds the commands; run_manage does the one that was given, and returns the exit code, or -1 where none was.
+void add_manage(CLI::App &app);
+int run_manage(CLI::App &app);
+
+} // namespace snowshore::cli
--- a/src/cli/snowshore.cpp
+++ b/src/cli/snowshore.cpp
@@ -1,5 +1,6 @@
 // snowshore: the operators' program.
-#include "edge/edge.h"
+#include "cli/manage.h"
+#include "program/run.h"
 
 #include <CLI/CLI.hpp>
 
@@ -15,13 +16,15 @@
   app.require_subcommand(1);
   app.footer("Examples:\n  snowshore check front.cue site.cue --show\n  snowshore edge --records front.cue "
              "site.cue\n"
-             "Exit codes: 0 done, 2 bad use or bad input.");
+             "snowshore get /state/service --target 127.0.0.1:9339\nExit codes: 0 done, 1 refused by a "
+             "front, 2 bad use or "
+             "bad input.");
   std::vector<std::string> files;
   bool show = false;
 
   auto *edge = app.add_subcommand("edge", "Serve players: the front end");
   edge->add_option("--records", files, "Record files; several are unified")->required()->expected(1, -1);
-  edge->footer("SIGHUP reloads limits and log level, SIGTERM answers what is in hand and exits 0.\n"
+  edge->footer("SIGHUP reads the records again, SIGTERM answers what is in hand and exits 0.\n"
                "Example:\n  snowshore edge --records front.cue site.cue");
   auto *check = app.add_subcommand("check", "Check a front's records and say every fault");
   check->add_option("files", files, "Record files; several are unified")->required()->expected(1, -1);
@@ -29,6 +32,8 @@
   check->footer("Example:\n  snowshore check front.cue site.cue --show");
   auto *version = app.add_subcommand("version", "Print the version");
 
+  cli::add_manage(app);
+
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError &error) {
@@ -38,7 +43,8 @@
     std::cout << "snowshore " << SNOWSHORE_VERSION << "\n";
     return 0;
   }
-  if (*edge) return edge::run_edge(files);
+  if (*edge) return program::run_edge(files, SNOWSHORE_VERSION);
+  if (int code = cli::run_manage(app); code >= 0) return code;
   try {
     site::FrontRecord record = site::load_front(files);
     if (show)
--- a/src/cli/snowshore_lab.cpp
+++ b/src/cli/snowshore_lab.cpp
@@ -1,9 +1,9 @@
 // snowshore-lab: days against stand-ins, and the judge.
-#include "edge/edge.h"
 #include "lab/first_holder.h"
 #include "lab/judge.h"
 #include "lab/load.h"
 #include "lab/run_day.h"
+#include "program/run.h"
 
 #include <CLI/CLI.hpp>
 
@@ -112,7 +112,7 @@
     return app.exit(error) == 0 ? 0 : 2;
   }
   try {
-    if (*front) return edge::run_edge(records, lab::make_first_holder);
+    if (*front) return program::run_edge(records, "lab", lab::make_first_holder);
     if (*measure) {
       load_options.folder = std::filesystem::absolute(folder).string();
       return load(load_options, baseline, ramp, limit, program);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -150,8 +150,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-// The program's main job: reads the records, serves until SIGTERM, reloads on SIGHUP. The process's exit
-// code.
-int run_edge(const std::vector<std::string> &record_files, MakeFront make = make_front);
-
 } // namespace snowshore::edge
--- /dev/null
+++ b/src/management/access.h
@@ -0,0 +1,27 @@
+// Who a client is, by its certificate, and what it may do, by the lists in the front's record.
+#pragma once
+#include "site/front_record.h"
+
+#include <grpcpp/server_context.h>
+
+#include <string>
+#include <vector>
+
+namespace snowshore::management {
+
+struct Client {
+  std::vector<std::string> names; // of its certificate: common name, then alternative names
+  double expires_at = 0;          // of its certificate, epoch seconds; 0: it has none
+  bool plaintext = false;         // on loopback, where the record asks for it
+  const std::string &name() const;
+};
+
+enum class Right { read, set };
+
+Client client_of(const grpc::ServerContextBase &context, bool plaintext);
+// Whether it may; a plaintext client on loopback may all.
+bool may(const Client &client, Right right, const site::ManagementTerms &terms);
+
+double expiry_of(const std::string &certificate_pem); // epoch seconds; 0 where it cannot be read
+
+} // namespace snowshore::management
--- /dev/null
+++ b/src/management/client.cpp
@@ -0,0 +1,252 @@
+#include "management/client.h"
+#include "gnmi.grpc.pb.h"
+#include "management/wire.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <condition_variable>
+#include <fstream>
+#include <set>
+#include <thread>
+
+namespace snowshore::management {
+
+using model::Json;
+using model::Path;
+
+namespace {
+
+constexpr int kLongestMessage = 128 << 20;
+
+std::string file(const std::string &name) {
+  std::ifstream in(name);
+  std::string text((std::istreambuf_iterator<char>(in)), {});
+  if (text.empty()) throw std::runtime_error(name + " cannot be read");
+  return text;
+}
+
+std::shared_ptr<grpc::Channel> open(const Target &target) {
+  grpc::ChannelArguments arguments;
+  arguments.SetMaxReceiveMessageSize(kLongestMessage);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1); // a back-off of one client is no other's
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  if (target.authority.empty())
+    return grpc::CreateCustomChannel(target.address, grpc::InsecureChannelCredentials(), arguments);
+  grpc::SslCredentialsOptions options;
+  options.pem_root_certs = file(target.authority);
+  if (!target.certificate.empty()) {
+    options.pem_cert_chain = file(target.certificate);
+    options.pem_private_key = file(target.key);
+  }
+  if (!target.server_name.empty()) arguments.SetSslTargetNameOverride(target.server_name);
+  return grpc::CreateCustomChannel(target.address, grpc::SslCredentials(options), arguments);
+}
+
+void within(grpc::ClientContext &context, double seconds) {
+  context.set_deadline(std::chrono::system_clock::now() +
+                       std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1e3)));
+}
+
+Reply reply_of(const grpc::Status &status) { return {status.error_code(), status.error_message(), 0}; }
+
+} // namespace
+
+struct ManagementClient::Channel {
+  explicit Channel(const Target &target) : channel(open(target)), stub(gnmi::gNMI::NewStub(channel)) {}
+  std::shared_ptr<grpc::Channel> channel;
+  std::unique_ptr<gnmi::gNMI::Stub> stub;
+};
+
+ManagementClient::ManagementClient(const Target &target) : channel_(std::make_unique<Channel>(target)) {}
+ManagementClient::~ManagementClient() = default;
+
+Reply ManagementClient::get(const std::vector<Path> &paths, Kind kind, std::vector<model::Leaf> &into,
+                            double seconds) {
+  grpc::ClientContext context;
+  within(context, seconds);
+  gnmi::GetRequest request;
+  request.set_encoding(gnmi::JSON_IETF);
+  request.set_type(kind == Kind::configuration ? gnmi::GetRequest::CONFIG
+                   : kind == Kind::state       ? gnmi::GetRequest::STATE
+                                               : gnmi::GetRequest::ALL);
+  for (const Path &path : paths) write_path(path, *request.add_path());
+  gnmi::GetResponse response;
+  Reply reply = reply_of(channel_->stub->Get(&context, request, &response));
+  if (!reply.ok()) return reply;
+  for (const gnmi::Notification &notification : response.notification()) {
+    for (const gnmi::Update &update : notification.update())
+      into.push_back({read_path({}, update.path()), read_value(update.val(), {})});
+  }
+  reply.revision = whole(read_more(response.extension()), "revision").value_or(0);
+  return reply;
+}
+
+Reply ManagementClient::set(const std::vector<model::Edit> &edits, const SetOptions &options,
+                            double seconds) {
+  grpc::ClientContext context;
+  within(context, seconds);
+  gnmi::SetRequest request;
+  for (const model::Edit &edit : edits) {
+    if (edit.kind == model::Edit::Kind::remove) {
+      write_path(edit.path, *request.add_delete_());
+      continue;
+    }
+    gnmi::Update *update =
+        edit.kind == model::Edit::Kind::replace ? request.add_replace() : request.add_update();
+    write_path(edit.path, *update->mutable_path());
+    write_value(edit.value, *update->mutable_val());
+  }
+  Json more = Json::object();
+  if (!options.cause.empty()) more["cause"] = options.cause;
+  if (options.read_at) more["revision"] = *options.read_at;
+  if (options.roll_back) more["roll_back"] = *options.roll_back;
+  if (!more.empty()) write_more(more, *request.mutable_extension());
+  if (options.commit != SetOptions::Commit::none) {
+    gnmi_ext::Commit *commit = request.add_extension()->mutable_commit();
+    commit->set_id(options.commit_id);
+    if (options.commit == SetOptions::Commit::confirm) {
+      commit->mutable_confirm();
+    } else if (options.commit == SetOptions::Commit::cancel) {
+      commit->mutable_cancel();
+    } else {
+      auto *duration = commit->mutable_commit()->mutable_rollback_duration();
+      duration->set_seconds(static_cast<std::int64_t>(options.confirm_within));
+      duration->set_nanos(
+          static_cast<int>((options.confirm_within - std::floor(options.confirm_within)) * 1e9));
+    }
+  }
+  gnmi::SetResponse response;
+  Reply reply = reply_of(channel_->stub->Set(&context, request, &response));
+  if (reply.ok()) reply.revision = whole(read_more(response.extension()), "revision").value_or(0);
+  return reply;
+}
+
+Reply ManagementClient::capabilities(std::string &into, double seconds) {
+  grpc::ClientContext context;
+  within(context, seconds);
+  gnmi::CapabilityResponse response;
+  Reply reply = reply_of(channel_->stub->Capabilities(&context, {}, &response));
+  if (reply.ok()) into = response.ShortDebugString();
+  return reply;
+}
+
+// ---- Watching.
+
+struct Watch::Run {
+  std::mutex mutex;
+  std::condition_variable wake;
+  grpc::ClientContext *call = nullptr; // under way
+  bool ended = false;
+  std::thread thread;
+};
+
+Watch::Watch(const Target &target, Options options, Told told)
+    : target_(target), options_(std::move(options)), told_(std::move(told)), run_(std::make_unique<Run>()) {
+  run_->thread = std::thread([this] { follow(); });
+}
+
+Watch::~Watch() {
+  {
+    std::lock_guard lock(run_->mutex);
+    run_->ended = true;
+    if (run_->call) run_->call->TryCancel();
+  }
+  run_->wake.notify_all();
+  run_->thread.join();
+}
+
+std::map<std::string, Json> Watch::view() const {
+  std::lock_guard lock(mutex_);
+  return view_;
+}
+
+void Watch::take(const std::string &path, const Json *value) {
+  {
+    std::lock_guard lock(mutex_);
+    auto it = view_.find(path);
+    if (value ? it != view_.end() && it->second == *value : it == view_.end()) return; // no news
+    if (value)
+      view_[path] = *value;
+    else
+      view_.erase(it);
+  }
+  if (told_) told_(path, value);
+}
+
+void Watch::follow() {
+  double pause = options_.first_pause;
+  while (state_.load() != State::ended) {
+    become(State::connecting);
+    ManagementClient client(target_);
+    grpc::ClientContext context;
+    {
+      std::lock_guard lock(run_->mutex);
+      if (run_->ended) return become(State::ended);
+      run_->call = &context;
+    }
+    auto stream = client.channel_->stub->Subscribe(&context);
+    gnmi::SubscribeRequest request;
+    gnmi::SubscriptionList &list = *request.mutable_subscribe();
+    list.set_encoding(gnmi::JSON_IETF);
+    for (const Path &path : options_.paths) {
+      gnmi::Subscription *one = list.add_subscription();
+      write_path(path, *one->mutable_path());
+      one->set_mode(options_.sample > 0 ? gnmi::SAMPLE : gnmi::ON_CHANGE);
+      one->set_sample_interval(static_cast<std::uint64_t>(options_.sample * 1e9));
+      one->set_suppress_redundant(true);
+    }
+    Json more = Json::object();
+    if (!options_.name.empty()) more["name"] = options_.name;
+    if (revision_ > 0) more["resume"] = revision_.load();
+    write_more(more, *request.mutable_extension());
+    ++streams_;
+    bool resumed = false, synced = false;
+    std::set<std::string> seen; // until in step: what the front has; the rest of the view is gone there
+    if (stream->Write(request)) {
+      become(State::syncing);
+      gnmi::SubscribeResponse response;
+      while (stream->Read(&response)) {
+        pause = options_.first_pause;
+        Json says = Json::object();
+        try {
+          says = read_more(response.extension());
+          for (const gnmi::Path &gone : response.update().delete_())
+            take(model::text_of(read_path({}, gone)), nullptr);
+          for (const gnmi::Update &update : response.update().update()) {
+            std::string path = model::text_of(read_path({}, update.path()));
+            Json value = read_value(update.val(), {});
+            take(path, &value);
+            if (!synced) seen.insert(std::move(path));
+          }
+        } catch (const model::Fault &) { // from no front of ours: as if it had not come
+          context.TryCancel();
+          break;
+        }
+        if (says.value("resumed", false) && !resumed) resumed = true, ++resumed_;
+        if (response.sync_response() && !synced) {
+          synced = true;
+          std::vector<std::string> gone;
+          for (const auto &[path, value] : view()) {
+            bool kept = resumed && path.starts_with("/front"); // only what differs comes again
+            if (!kept && !seen.contains(path)) gone.push_back(path);
+          }
+          for (const std::string &path : gone) take(path, nullptr);
+          become(State::following);
+        }
+        if (synced && says.contains("revision")) revision_ = says["revision"].get<std::uint64_t>();
+      }
+    }
+    stream->Finish();
+    std::unique_lock lock(run_->mutex);
+    run_->call = nullptr;
+    become(State::pausing);
+    run_->wake.wait_for(lock, std::chrono::duration<double>(pause), [&] { return run_->ended; });
+    if (run_->ended) return become(State::ended);
+    pause = std::min(pause * 2, options_.longest_pause);
+  }
+}
+
+} // namespace snowshore::management
--- /dev/null
+++ b/src/management/manager.h
@@ -0,0 +1,112 @@
+// The front's configuration and state, as management reaches them: sets in their order, each whole or not at
+// all (transaction.h), the revision in force and the state of the front as shared copies for readers. May be
+// called by any thread; sets are made one at a time, reads never wait for a set. Times are seconds.
+#pragma once
+#include "management/transaction.h"
+#include "model/model.h"
+#include "site/front_record.h"
+#include "site/front_state.h"
+#include "store/store.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace snowshore::management {
+
+struct Ending : std::runtime_error { // the front ends and takes no more calls
+  Ending() : std::runtime_error("the front is ending") {}
+};
+
+class FrontPort { // the running front; calls are carried out on its executor, and wait. May throw Ending.
+ public:
+  virtual ~FrontPort() = default;
+  virtual std::optional<std::string> refusal_of(const site::FrontRecord &next, bool drained) = 0;
+  virtual std::optional<std::string> change(const site::FrontRecord &next, bool drained) = 0;
+  virtual site::FrontState state() = 0;
+};
+
+struct InForce { // a copy for readers, never changed
+  std::uint64_t revision = 0;
+  std::string document;
+  site::ManagementTerms terms;
+  double confirm_by = 0; // 0: confirmed
+  std::string commit_id; // of one that awaits its confirmation
+};
+
+class Manager final : Running {
+ public:
+  Manager(const model::Model &model, store::Store &store, std::size_t history, std::string version);
+
+  // Before the front runs: reads the history back and returns the record that is in force. from_files becomes
+  // a revision when the files say something else than when they were last read. Throws StoreError, Fault,
+  // RecordError, and std::runtime_error for a history whose last revision cannot run.
+  site::FrontRecord start(const site::FrontRecord &from_files);
+  // From now on sets reach it; nullptr: it has ended. The port must outlive the manager's calls.
+  void attach(FrontPort *front);
+
+  struct Request {
+    std::vector<model::Edit> edits;
+    std::string user, cause;
+    std::optional<std::uint64_t> read_at;
+    double confirm_within = 0;
+    std::string commit_id = {};
+  };
+  Answer set(const Request &request);
+  Answer confirm(std::uint64_t revision, const std::string &user);
+  Answer cancel(std::uint64_t revision, const std::string &user);
+  Answer roll_back(std::uint64_t revision, const std::string &user);
+  // The record's files as they are now, whole, in place of what is in force.
+  Answer take_files(const site::FrontRecord &from_files, const std::string &user);
+  std::optional<double> tick(); // undoes what is due; seconds until the next undoing
+
+  std::shared_ptr<const InForce> in_force() const;
+  // Waits until another revision than this is in force, at most so long; false: none came.
+  bool wait_for_change(std::uint64_t revision, double seconds) const;
+  std::string state_json();         // of the model's /state, no older than snapshot_every. May throw Ending.
+  std::string history_json() const; // of the model's /state/history
+  std::optional<std::string> document_at(std::uint64_t revision) const;
+  std::vector<Revision> history() const; // without documents
+  double now() const;                    // epoch seconds that never step back, not even over a restart
+
+  void note_stream(int more); // subscriptions begun and ended
+  void note_cut();
+  std::size_t streams() const { return static_cast<std::size_t>(streams_.load()); }
+  // Where a named subscriber has got to; durable where the store is not in use at the moment.
+  void note_position(const std::string &subscriber, std::uint64_t revision, bool durable);
+  const model::Model &model() const { return model_; }
+
+ private:
+  std::optional<No> refuse(const std::string &document) override;
+  std::optional<std::string> apply(const std::string &document) override;
+  site::FrontRecord record_of(const std::string &document) const;
+  bool needs_drain(const std::string &document) const;
+  template <class F> Answer one_at_a_time(F call);
+  void publish();
+
+  const model::Model &model_;
+  store::Store &store_;
+  const std::string version_;
+  std::mutex sets_; // held over a whole set
+  Transactions transactions_;
+  std::atomic<FrontPort *> front_{nullptr};
+  std::string running_; // the document that the front has; empty: none yet
+  bool lost_track_ = false;
+  std::atomic<int> waiting_{0}, streams_{0};
+  std::atomic<std::uint64_t> taken_{0}, refused_{0}, cut_{0};
+  mutable std::mutex held_; // the copies below
+  mutable std::condition_variable changed_;
+  std::shared_ptr<const InForce> in_force_;
+  std::map<std::uint64_t, Revision> revisions_;
+  std::map<std::string, std::uint64_t> positions_;
+  std::mutex state_mutex_;
+  std::string state_;
+  double state_at_ = -1e9;
+  std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
+  double epoch_ = 0;
+};
+
+} // namespace snowshore::management
--- a/src/management/transaction.cpp
+++ b/src/management/transaction.cpp
@@ -9,8 +9,9 @@
 }
 
 const char *name_of(Refusal refusal) {
-  constexpr const char *kNames[] = {"none",        "invalid",     "not_now",         "stale",
-                                    "unconfirmed", "not_applied", "unknown_revision"};
+  constexpr const char *kNames[] = {"none",        "invalid",     "not_now",          "stale",
+                                    "unconfirmed", "not_applied", "unknown_revision", "overloaded",
+                                    "not_stored",  "ending"};
   return kNames[static_cast<int>(refusal)];
 }
 
@@ -41,7 +42,7 @@
     else
       history_.push_back(revision);
   }
-  if (history_.empty()) return commit({1, first, "", "first start", now, 0, 0});
+  if (history_.empty()) return commit({1, first, "", "first start", now, 0, 0, ""});
   settle();
   if (state_ == State::awaiting_confirmation && now >= running().confirm_by) {
     if (Answer undone = tick(now); undone.refusal == Refusal::none) return undone;
@@ -85,8 +86,8 @@
     return refused(Refusal::unconfirmed,
                    "revision " + std::to_string(running().number) + " awaits its confirmation");
   double confirm_by = change.confirm_within > 0 ? now + change.confirm_within : 0;
-  return commit(
-      {running().number + 1, change.document, change.user, change.cause, now, confirm_by, running().number});
+  return commit({running().number + 1, change.document, change.user, change.cause, now, confirm_by,
+                 running().number, change.commit_id});
 }
 
 Answer Transactions::confirm(std::uint64_t revision, const std::string &user, double now) {
@@ -110,7 +111,7 @@
     return refused(Refusal::unknown_revision,
                    "revision " + std::to_string(revision) + " awaits no confirmation");
   return commit({running().number + 1, back->document, user,
-                 "revision " + std::to_string(revision) + " was cancelled", now, 0, back->number});
+                 "revision " + std::to_string(revision) + " was cancelled", now, 0, back->number, ""});
 }
 
 Answer Transactions::roll_back(std::uint64_t revision, const std::string &user, double now) {
@@ -121,7 +122,7 @@
   const Revision *to = find(revision);
   if (!to) return refused(Refusal::unknown_revision, "no revision " + std::to_string(revision));
   return commit({running().number + 1, to->document, user,
-                 "rolled back to revision " + std::to_string(revision), now, 0, revision});
+                 "rolled back to revision " + std::to_string(revision), now, 0, revision, ""});
 }
 
 Answer Transactions::tick(double now) {
@@ -134,7 +135,7 @@
     history_.back().confirm_by = now + kUndoAgain;
     return refused(no->refusal, cause + "; cannot go back yet: " + no->why);
   }
-  return commit({running().number + 1, back->document, running().user, cause, now, 0, back->number});
+  return commit({running().number + 1, back->document, running().user, cause, now, 0, back->number, ""});
 }
 
 std::optional<double> Transactions::next_due() const {
--- a/src/management/transaction.h
+++ b/src/management/transaction.h
@@ -18,6 +18,7 @@
   double at = 0;
   double confirm_by = 0;     // 0: confirmed
   std::uint64_t back_to = 0; // the revision that an unconfirmed change, or a rollback, returns to
+  std::string commit_id;     // the client's name for an unconfirmed change
 };
 
 class Journal { // durable: append returns once the revision would survive a crash, or throws and it may or
@@ -30,7 +31,19 @@
 };
 
 // invalid: never right; not_now: right, and in the way of what is in hand; not_applied: tried and taken back.
-enum class Refusal { none, invalid, not_now, stale, unconfirmed, not_applied, unknown_revision };
+// overloaded, not_stored and ending come from the manager around it.
+enum class Refusal {
+  none,
+  invalid,
+  not_now,
+  stale,
+  unconfirmed,
+  not_applied,
+  unknown_revision,
+  overloaded,
+  not_stored,
+  ending
+};
 const char *name_of(Refusal refusal);
 
 struct No {
@@ -66,6 +79,7 @@
     std::string document, user, cause;
     std::optional<std::uint64_t> read_at; // the revision that the client had read; an older one is refused
     double confirm_within = 0;            // 0: no confirmation is asked for
+    std::string commit_id = {};
   };
   Answer set(const Change &change, double now);
   // Undoes an unconfirmed change now, without waiting for its time.
--- a/src/model/model.cpp
+++ b/src/model/model.cpp
@@ -398,7 +398,7 @@
   try {
     add(tree, inner.dump());
   } catch (const Fault &fault) {
-    throw Fault(fault.kind, text_of(path), fault.what());
+    throw Fault(fault.kind, text_of(path), fault.cause);
   } catch (const Json::exception &) {
     throw Fault(FaultKind::bad_value, text_of(path), "text that is not UTF-8");
   }
--- a/src/model/path.h
+++ b/src/model/path.h
@@ -13,9 +13,9 @@
 enum class FaultKind { unknown_path, bad_value, constraint };
 struct Fault : std::runtime_error { // what() names the path
   Fault(FaultKind k, std::string at, const std::string &why)
-      : std::runtime_error(at + ": " + why), kind(k), path(std::move(at)) {}
+      : std::runtime_error(at + ": " + why), kind(k), path(std::move(at)), cause(why) {}
   FaultKind kind;
-  std::string path;
+  std::string path, cause;
 };
 
 struct PathElem {
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr char kRevisions[] = "revision/", kAfterRevisions[] = "revision0"; // '0' comes after '/'
+constexpr char kSubscribers[] = "subscriber/";
 
 std::string key_of(std::uint64_t number) { // keys in the order of their numbers
   char key[40];
@@ -26,16 +27,17 @@
 }
 
 std::string pack(const Revision &r) {
-  return Json{{"number", r.number}, {"document", r.document},     {"user", r.user},      {"cause", r.cause},
-              {"at", r.at},         {"confirm_by", r.confirm_by}, {"back_to", r.back_to}}
+  return Json{
+      {"number", r.number}, {"document", r.document},     {"user", r.user},       {"cause", r.cause},
+      {"at", r.at},         {"confirm_by", r.confirm_by}, {"back_to", r.back_to}, {"commit_id", r.commit_id}}
       .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Revision unpack(const std::string &key, const std::string &text) {
   try {
     Json j = Json::parse(text);
-    Revision r{j.at("number"), j.at("document"),   j.at("user"),   j.at("cause"),
-               j.at("at"),     j.at("confirm_by"), j.at("back_to")};
+    Revision r{j.at("number"), j.at("document"),   j.at("user"),    j.at("cause"),
+               j.at("at"),     j.at("confirm_by"), j.at("back_to"), j.at("commit_id")};
     if (key_of(r.number) == key) return r;
   } catch (const Json::exception &) {
   }
@@ -127,14 +129,19 @@
 std::string Store::text(const std::string &name) const { return get("text/" + name).value_or(""); }
 void Store::put_text(const std::string &name, const std::string &text) { put("text/" + name, text); }
 
-std::optional<std::uint64_t> Store::position(const std::string &subscriber) const {
-  auto value = get("subscriber/" + subscriber);
-  if (!value) return std::nullopt;
-  return std::stoull(*value);
+std::map<std::string, std::uint64_t> Store::positions() const {
+  if (!db_) throw StoreError("the store is shut");
+  std::map<std::string, std::uint64_t> out;
+  std::unique_ptr<rocksdb::Iterator> at(db_->NewIterator(rocksdb::ReadOptions()));
+  for (at->Seek(kSubscribers); at->Valid() && at->key().starts_with(kSubscribers); at->Next())
+    out[at->key().ToString().substr(sizeof kSubscribers - 1)] =
+        std::strtoull(at->value().ToString().c_str(), nullptr, 10);
+  check(at->status(), "reading positions");
+  return out;
 }
 
 void Store::put_position(const std::string &subscriber, std::uint64_t revision) {
-  put("subscriber/" + subscriber, std::to_string(revision));
+  put(kSubscribers + subscriber, std::to_string(revision));
 }
 
 std::vector<Revision> Store::peek(const std::string &folder) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -5,6 +5,7 @@
 #pragma once
 #include "management/transaction.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -33,7 +34,7 @@
   std::string text(const std::string &name) const; // empty: never put
   void put_text(const std::string &name, const std::string &text);
   // Where a subscriber, by its name, has got to.
-  std::optional<std::uint64_t> position(const std::string &subscriber) const;
+  std::map<std::string, std::uint64_t> positions() const;
   void put_position(const std::string &subscriber, std::uint64_t revision);
 
   void reopen(); // after an error; throws where it still cannot
