--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -11,6 +11,12 @@
 target_link_libraries(snowshore_edge_tests PRIVATE snowshore_edge snowshore_lab_parts Catch2::Catch2)
 add_test(NAME snowshore_edge_tests COMMAND snowshore_edge_tests)
 
+add_executable(snowshore_management_tests tests/test_main.cpp tests/management/test_manager.cpp
+               tests/management/test_follower.cpp tests/management/test_service.cpp)
+target_include_directories(snowshore_management_tests PRIVATE tests)
+target_link_libraries(snowshore_management_tests PRIVATE snowshore_management Catch2::Catch2 PkgConfig::OPENSSL)
+add_test(NAME snowshore_management_tests COMMAND snowshore_management_tests)
+
 # Days on loopback: every kind of trouble and the bad day, three seeds each. Mostly waiting, so many run at a time.
 file(GLOB days CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/days/*.cue)
 foreach(day ${days})
--- a/src/management/manager.cpp
+++ b/src/management/manager.cpp
@@ -62,32 +62,29 @@
   return epoch_ + std::chrono::duration<double>(std::chrono::steady_clock::now() - began_).count();
 }
 
-site::FrontRecord Manager::record_of(const std::string &document) const {
-  records::Source file{"(running configuration)", model_.record_of(document)};
-  return site::read_front({&file, 1});
+const Manager::Checked &Manager::checked(const std::string &document) {
+  if (checked_ && checked_->document == document) return *checked_;
+  records::Source file{"(configuration)", model_.record_of(document)};
+  Checked out{document, site::read_front({&file, 1}), false, {}};
+  if (!running_.empty()) {
+    for (const model::Changed &one : model_.changes(running_, document)) {
+      out.drained = out.drained || one.when == model::TakesEffect::drained;
+      if (one.when == model::TakesEffect::restart) out.fixed = one.path;
+    }
+  }
+  return checked_.emplace(std::move(out));
 }
 
 // ---- The front's side of a transaction.
 
-bool Manager::needs_drain(const std::string &document) const {
-  for (const model::Changed &one : model_.changes(running_, document)) {
-    if (one.when == model::TakesEffect::drained) return true;
-  }
-  return false;
-}
-
 std::optional<No> Manager::refuse(const std::string &document) {
   try {
-    site::FrontRecord next = record_of(document);
+    const Checked &next = checked(document);
     if (!front_) return std::nullopt;
-    bool drained = false;
-    for (const model::Changed &one : model_.changes(running_, document)) {
-      if (one.when == model::TakesEffect::restart)
-        return No{Refusal::not_now,
-                  one.path + ": takes effect at a new start only; change the record's file"};
-      drained = drained || one.when == model::TakesEffect::drained;
-    }
-    if (auto why = front_.load()->refusal_of(next, drained)) return No{Refusal::not_now, *why};
+    if (next.fixed)
+      return No{Refusal::not_now,
+                *next.fixed + ": takes effect at a new start only; change the record's file"};
+    if (auto why = front_.load()->refusal_of(next.record, next.drained)) return No{Refusal::not_now, *why};
     return std::nullopt;
   } catch (const records::RecordError &error) {
     return No{Refusal::invalid, error.what()};
@@ -97,10 +94,12 @@
 }
 
 std::optional<std::string> Manager::apply(const std::string &document) {
+  const Checked &next = checked(document);
   if (front_ && document != running_) {
-    if (auto why = front_.load()->change(record_of(document), needs_drain(document))) return why;
+    if (auto why = front_.load()->change(next.record, next.drained)) return why;
   }
   running_ = document;
+  checked_->drained = false, checked_->fixed.reset(); // against itself
   return std::nullopt;
 }
 
@@ -126,7 +125,7 @@
   }
   positions_ = store_.positions();
   publish();
-  return record_of(transactions_.running().document);
+  return checked(transactions_.running().document).record;
 }
 
 void Manager::attach(FrontPort *front) {
@@ -243,8 +242,9 @@
   next->commit_id = running.commit_id;
   std::lock_guard held(held_);
   if (in_force_ && in_force_->revision == next->revision && in_force_->confirm_by == next->confirm_by) return;
-  next->terms = in_force_ && in_force_->document == next->document ? in_force_->terms
-                                                                   : record_of(next->document).management;
+  next->terms = in_force_ && in_force_->document == next->document
+                    ? in_force_->terms
+                    : checked(next->document).record.management;
   for (auto it = transactions_.history().rbegin(); it != transactions_.history().rend(); ++it) {
     auto [place, added] = revisions_.insert_or_assign(it->number, *it);
     if (!added && it->number != running.number) break;
--- a/src/management/manager.h
+++ b/src/management/manager.h
@@ -82,8 +82,13 @@
  private:
   std::optional<No> refuse(const std::string &document) override;
   std::optional<std::string> apply(const std::string &document) override;
-  site::FrontRecord record_of(const std::string &document) const;
-  bool needs_drain(const std::string &document) const;
+  struct Checked { // a document that was read, so that one set reads it once
+    std::string document;
+    site::FrontRecord record;
+    bool drained = false;             // against what the front has
+    std::optional<std::string> fixed; // a path that only a new start can change
+  };
+  const Checked &checked(const std::string &document);
   template <class F> Answer one_at_a_time(F call);
   void publish();
 
@@ -94,6 +99,7 @@
   Transactions transactions_;
   std::atomic<FrontPort *> front_{nullptr};
   std::string running_; // the document that the front has; empty: none yet
+  std::optional<Checked> checked_;
   bool lost_track_ = false;
   std::atomic<int> waiting_{0}, streams_{0};
   std::atomic<std::uint64_t> taken_{0}, refused_{0}, cut_{0};
--- /dev/null
+++ b/tests/management/rig.h
@@ -0,0 +1,91 @@
+// A manager over a real store in a folder of its own, before a front of the test's making.
+#pragma once
+#include "management/manager.h"
+
+#include <cstdlib>
+#include <filesystem>
+
+namespace snowshore::testing {
+
+inline const char *const kFrontText = R"(
+name: "edge-1"
+list: {file: "list.cue", catalogue: "titles.cue"}
+fleet: {cells: 4, kinds: [{name: "small", places: 24}], link_per_weight: "25MB/s"}
+products: [{name: "film", first_frame_target: "800ms", time_limit: "4s", top: 1},
+           {name: "live", first_frame_target: "1s", time_limit: "2s", top: 0, seats: 5}]
+rungs: [{rate: "200kB/s", importance: 0.2}, {rate: "450kB/s", importance: 1}]
+rules: {warm_up: "12s", cold_share: 0.5, fall_multiple: 2, fall_span: "2s"}
+)";
+
+inline site::FrontRecord front_record(const std::string &more = "") {
+  records::Source files[] = {{"front.cue", kFrontText}, {"more.cue", more}};
+  return site::read_front(files);
+}
+
+struct Folder {
+  std::string name;
+  Folder() {
+    char made[] = "/tmp/snowshore-managed-XXXXXX";
+    name = mkdtemp(made);
+  }
+  ~Folder() { std::filesystem::remove_all(name); }
+};
+
+struct FakeFront final : management::FrontPort { // called by management's threads
+  std::mutex mutex;
+  std::string refuses, fails; // why, for all that comes
+  std::function<void()> before_check, before_change, after_change;
+  std::size_t open_plays = 0; // of the record it runs with
+  int changes = 0, drained = 0, states = 0;
+  site::FrontState now;
+  std::optional<std::string> refusal_of(const site::FrontRecord &, bool) override {
+    if (before_check) before_check();
+    std::lock_guard lock(mutex);
+    return refuses.empty() ? std::nullopt : std::optional(refuses);
+  }
+  std::optional<std::string> change(const site::FrontRecord &next, bool with_drain) override {
+    if (before_change) before_change();
+    {
+      std::lock_guard lock(mutex);
+      if (!fails.empty()) return fails;
+      open_plays = next.limits.open_plays;
+      ++changes, drained += with_drain;
+    }
+    if (after_change) after_change();
+    return std::nullopt;
+  }
+  site::FrontState state() override {
+    std::lock_guard lock(mutex);
+    ++states;
+    return now;
+  }
+};
+
+inline const model::Model &built_in() {
+  static const model::Model model;
+  return model;
+}
+
+struct Rig { // as the program puts it together
+  FakeFront front;
+  store::Store store;
+  management::Manager manager;
+  explicit Rig(const std::string &folder, const std::string &more = "", std::size_t history = 1000)
+      : store(folder, history), manager(built_in(), store, history, "test") {
+    auto record = manager.start(front_record(more));
+    front.open_plays = record.limits.open_plays;
+    front.now.service = "serving", front.now.boot = "b";
+    manager.attach(&front);
+  }
+  management::Answer set(const char *path, model::Json value, double confirm_within = 0) {
+    return manager.set({{{model::Edit::Kind::update, model::parse_path(path), std::move(value)}},
+                        "ana",
+                        "test",
+                        {},
+                        confirm_within,
+                        "c"});
+  }
+  std::string in_force() const { return manager.in_force()->document; }
+};
+
+} // namespace snowshore::testing
--- /dev/null
+++ b/tests/management/test_service.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
