--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -85,9 +85,9 @@
 
 find_package(Boost REQUIRED COMPONENTS random)
 add_library(snowshore_lab_parts STATIC src/lab/day.cpp src/lab/server.cpp src/lab/players.cpp src/lab/run_day.cpp
-            src/lab/judge.cpp src/lab/load.cpp src/lab/first_holder.cpp)
+            src/lab/judge.cpp src/lab/load.cpp src/lab/first_holder.cpp src/lab/manage.cpp)
 target_link_libraries(snowshore_lab_parts PUBLIC snowshore_site snowshore_hints snowshore_serverwire snowshore_telemetry
-                      Boost::random)
+                      snowshore_management Boost::random)
 add_executable(snowshore-lab src/cli/snowshore_lab.cpp)
 target_link_libraries(snowshore-lab PRIVATE snowshore_lab_parts snowshore_front_program)
 
--- a/src/cli/snowshore_lab.cpp
+++ b/src/cli/snowshore_lab.cpp
@@ -2,6 +2,7 @@
 #include "lab/first_holder.h"
 #include "lab/judge.h"
 #include "lab/load.h"
+#include "lab/manage.h"
 #include "lab/run_day.h"
 #include "program/run.h"
 
@@ -50,6 +51,27 @@
   }
 }
 
+// A day whose fronts are managed meanwhile: until all changes are made, or as long as the record says.
+int manage_push(lab::PushOptions push, const lab::Day &day, const std::string &text, lab::RunOptions options,
+                bool whole_day) {
+  lab::PushFigures figures;
+  options.lasts_until_done = !whole_day;
+  options.beside = [&](lab::FleetControl &fleet) { figures = lab::push_changes(fleet, push); };
+  lab::run_day(day, text, options);
+  lab::Verdict verdict = lab::judge(day, lab::read_traces(options.folder));
+  std::cout << lab::report(verdict) << lab::report(figures);
+  int made = figures.taken + figures.refused + figures.unanswered;
+  bool all = whole_day ? made > 0 : made == push.changes && figures.kills == push.kills;
+  if (!all) std::cout << "only " << made << " changes were made\n";
+  return verdict.clean() && figures.differ == 0 && all ? 0 : 1;
+}
+
+std::string push_day(int fronts, double plays_a_second) {
+  return "name: \"push\"\nfronts: " + std::to_string(fronts) +
+         "\nservers: 10\nplays_a_second: " + std::to_string(plays_a_second) +
+         "\nsite: log_level: \"warning\"\n";
+}
+
 int judge_folder(const std::string &folder, bool in_full) {
   lab::Json scale = lab::Json::parse(std::ifstream(folder + "/scale.json"), nullptr, false);
   if (!scale.is_object()) throw std::runtime_error(folder + " holds no day that was played (scale.json)");
@@ -84,6 +106,35 @@
   day->add_option("--program", program, "The front's program (default: beside this one)");
   auto *judge = app.add_subcommand("judge", "Judge a day that was played, from its folder");
   judge->add_option("folder", folder, "The folder that 'day' wrote")->required();
+  bool managed = false;
+  day->add_flag("--managed", managed, "A management client at work on all fronts meanwhile");
+  lab::PushOptions push_options;
+  double plays_a_second = 40;
+  int most = 4000, value = 5000;
+  std::vector<std::string> addresses;
+  auto *manage = app.add_subcommand("manage", "A management client for many fronts");
+  manage->require_subcommand(1);
+  auto *push =
+      manage->add_subcommand("push", "Changes, valid and not, to fronts under play load that are killed");
+  push->add_option("--fronts", fronts, "Under play load")->check(CLI::Range(1, 64));
+  push->add_option("--changes", push_options.changes, "In all")
+      ->check(CLI::Range(1, 1000000))
+      ->capture_default_str();
+  push->add_option("--kills", push_options.kills, "In all")
+      ->check(CLI::Range(0, 10000))
+      ->capture_default_str();
+  push->add_option("--plays", plays_a_second, "Plays a second, over all fronts")->capture_default_str();
+  push->add_option("--pause", push_options.pause, "Seconds between two changes of a front");
+  push->add_option("--seed", seed, "Of all chance")->capture_default_str();
+  push->add_option("--out", folder, "Folder for traces, records and logs; made anew")->capture_default_str();
+  push->add_option("--program", program, "The front's program (default: beside this one)");
+  push->footer("Example:\n  snowshore-lab manage push --fronts 4 --changes 1000 --seed 7 --kills 50");
+  auto *rollout = manage->add_subcommand("rollout", "One change to fronts that run, all at once");
+  rollout->add_option("addresses", addresses, "Their management addresses")->required();
+  rollout->add_option("--value", value, "Of /front/limits/open_plays")->capture_default_str();
+  auto *recovery = manage->add_subcommand("recovery", "Recovery time against the length of the history");
+  recovery->add_option("--most", most, "Revisions, doubling up to this")->capture_default_str();
+  recovery->add_option("--out", folder, "An empty folder")->capture_default_str();
   for (auto *one : {day, judge}) one->add_flag("--full", full, "All evidence, not the first of each");
   lab::LoadOptions load_options;
   bool baseline = false, ramp = false, first_holder = false;
@@ -117,14 +168,38 @@
       load_options.folder = std::filesystem::absolute(folder).string();
       return load(load_options, baseline, ramp, limit, program);
     }
+    lab::RunOptions options;
+    options.folder = std::filesystem::absolute(folder).string();
+    options.program = program.empty() ? program_beside() : program;
+    options.seed = seed;
+    options.progress = isatty(2) != 0;
+    push_options.seed = seed;
+    if (*push) {
+      records::Source source{"(push)", push_day(fronts > 0 ? fronts : 4, plays_a_second)};
+      return manage_push(push_options, lab::read_day(source), source.text, options, false);
+    }
+    if (*rollout) {
+      lab::RolloutFigures f = lab::roll_out(addresses, 16, value);
+      std::printf("%d of %zu fronts have it after %.2f s; one Set p50 %.1f ms, p99 %.1f ms\n", f.taken,
+                  addresses.size(), f.seconds, f.p50 * 1e3, f.p99 * 1e3);
+      return f.taken == static_cast<int>(addresses.size()) ? 0 : 1;
+    }
+    if (*recovery) {
+      records::Source source{"(push)", push_day(1, 1)};
+      std::string text = lab::front_record(lab::read_day(source), 0, options.folder);
+      for (int revisions = 250; revisions <= most; revisions *= 2)
+        std::printf(
+            "%6d revisions: %.1f ms\n", revisions,
+            1e3 * lab::recovery_time(options.folder + "/" + std::to_string(revisions), revisions, text));
+      return 0;
+    }
     if (*day) {
       records::Source source = records::load_file(file);
       lab::Day read = lab::read_day(source, fronts, servers);
-      lab::RunOptions options;
-      options.folder = std::filesystem::absolute(folder).string();
-      options.program = program.empty() ? program_beside() : program;
-      options.seed = seed;
-      options.progress = isatty(2) != 0;
+      if (managed) {
+        push_options.changes = 1000000, push_options.kills = 0, push_options.pause = 0.02;
+        return manage_push(push_options, read, source.text, options, true);
+      }
       lab::run_day(read, source.text, options);
     }
     return judge_folder(folder, full);
--- a/src/lab/run_day.cpp
+++ b/src/lab/run_day.cpp
@@ -10,11 +10,13 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cmath>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <iostream>
+#include <thread>
 
 namespace snowshore::lab {
 
@@ -24,6 +26,7 @@
 
 namespace fs = std::filesystem;
 
+constexpr double kDownFor = 0.1; // after a kill from beside
 constexpr double kTick = 0.1, kReadyWithin = 20, kEndWithin = 5;
 
 void write_whole(const std::string &file, const std::string &text) { // beside, then renamed over
@@ -41,7 +44,10 @@
       : day_(day), index_(index), options_(options), trace_(trace),
         folder_(options.folder + "/f" + std::to_string(index)) {
     fs::create_directories(folder_);
-    write_whole(folder_ + "/front.cue", front_record(day, index, folder_));
+    std::string managed;
+    if (options.beside)
+      managed = "management: {listen: \"127.0.0.1:0\", plaintext: true, store: \"" + folder_ + "/store\"}\n";
+    write_whole(folder_ + "/front.cue", front_record(day, index, folder_) + managed);
   }
   ~FrontProcess() { kill_now(false); }
 
@@ -69,6 +75,7 @@
     if (!ports.is_object()) return false;
     players_ = http::loopback(ports["players"].get<unsigned short>());
     operators_ = http::loopback(ports["operators"].get<unsigned short>());
+    management_ = ports["management"].get<int>();
     return has_ports_ = true;
   }
 
@@ -79,6 +86,7 @@
     waitpid(pid_, nullptr, 0);
     pid_ = 0;
     has_ports_ = false;
+    management_ = 0;
   }
 
   void stall() {
@@ -120,6 +128,7 @@
   bool known() const { return players_.port() != 0; }
   bool up() const { return pid_ > 0; }
   const http::Endpoint &players() const { return players_; }
+  int management() const { return management_; } // any thread may ask
   const http::Endpoint &operators() const { return operators_; }
 
  private:
@@ -131,9 +140,10 @@
   pid_t pid_ = 0;
   bool has_ports_ = false, stalled_ = false, told_to_end_ = false;
   http::Endpoint players_, operators_;
+  std::atomic<int> management_{0};
 };
 
-class DayRun {
+class DayRun final : public FleetControl {
  public:
   DayRun(const Day &day, const RunOptions &options)
       : day_(day), options_(options), fleet_(options.folder + "/fleet.jsonl", clock_),
@@ -165,17 +175,32 @@
     begin_ = clock_.exact();
     players_->start();
     for (const Fault &fault : day_.faults) later(fault.at, [this, &fault] { inject(fault); });
-    later(day_.seconds, [this] {
-      players_->stop_asking();
-      asking_ended_ = true;
-    });
+    if (!options_.lasts_until_done)
+      later(day_.seconds, [this] {
+        players_->stop_asking();
+        asking_ended_ = true;
+      });
     tick();
     double limit = 0;
     for (const auto &product : day_.terms.products) limit = std::max(limit, product.time_limit);
-    double latest = day_.seconds + limit + 1.5;
-    while (elapsed() < latest &&
-           !(asking_ended_ && players_->waiting() == 0 && elapsed() > day_.seconds + 0.5))
+    std::thread beside;
+    if (options_.beside)
+      beside = std::thread([this] {
+        options_.beside(*this);
+        beside_done_ = true;
+      });
+    if (options_.lasts_until_done) {
+      while (!beside_done_) turn();
+      players_->stop_asking();
+      asking_ended_ = true;
+    }
+    double end = options_.lasts_until_done ? elapsed() : day_.seconds;
+    double latest = end + limit + 1.5;
+    while (elapsed() < latest && !(asking_ended_ && players_->waiting() == 0 && elapsed() > end + 0.5))
       turn();
+    ends_ = true;
+    while (beside.joinable() && !beside_done_) turn();
+    if (beside.joinable()) beside.join();
     for (auto &front : fronts_) front->terminate();
     double until = elapsed() + kEndWithin;
     auto all_ended = [&] { return std::ranges::all_of(fronts_, [](auto &front) { return front->ended(); }); };
@@ -188,6 +213,18 @@
     if (options_.progress) std::cerr << "\n";
   }
 
+  int fronts() const override { return day_.fronts; }
+  int management_port(int front) const override {
+    return fronts_[static_cast<std::size_t>(front)]->management();
+  }
+  bool ends() const override { return ends_; }
+  void kill_front(int front) override {
+    asio::post(io_, [this, raw = fronts_[static_cast<std::size_t>(front)].get()] {
+      raw->kill_now();
+      later(kDownFor, [raw] { raw->start(); });
+    });
+  }
+
  private:
   struct ListedView { // of one server, as the list has it
     std::string id, standing;
@@ -490,6 +527,7 @@
   std::uint64_t list_version_ = 1;
   double begin_ = 0, list_later_ = 0;
   bool list_down_ = false, asking_ended_ = false;
+  std::atomic<bool> beside_done_{false}, ends_{false};
 };
 
 } // namespace
