--- a/src/management/service.cpp
+++ b/src/management/service.cpp
@@ -471,12 +471,19 @@
 
     bool streams = list.mode() == gnmi::SubscriptionList::STREAM;
     std::uint64_t at = resumed ? *from : view.held().revision, noted = 0;
+    std::uint64_t told_at = at; // when something was last told: all that changed since is still owed
     double next_state = manager_.now() + kStatePoll;
     for (bool first = true;; first = false) {
       std::uint64_t revision = view.held().revision;
       Json says{{"revision", revision}};
       if (first) says["resumed"] = resumed;
-      if (!write(stream, active, follower.due(manager_.now(), values), says, coalesced(at, revision))) break;
+      Follower::Batch batch = follower.due(manager_.now(), values);
+      if (!batch.empty()) {
+        auto duplicates = coalesced(told_at, revision);
+        told_at = revision;
+        if (!write(stream, active, std::move(batch), says, duplicates)) break;
+      }
+
       if (first || !streams) {
         gnmi::SubscribeResponse synced;
         synced.set_sync_response(true);
