--- a/src/management/wire.cpp
+++ b/src/management/wire.cpp
@@ -10,6 +10,10 @@
 using model::Json;
 using model::Path;
 
+namespace {
+constexpr int kDeepest = 32; // of a value's JSON; the model itself is no deeper than six
+}
+
 Path read_path(const gnmi::Path &prefix, const gnmi::Path &path) {
   Path out;
   for (const gnmi::Path *part : {&prefix, &path}) {
@@ -37,7 +41,11 @@
 
 Json read_value(const gnmi::TypedValue &value, const Path &at) {
   auto parse = [&](const std::string &text) {
-    Json read = Json::parse(text, nullptr, false);
+    Json::parser_callback_t bounded = [&](int depth, Json::parse_event_t, Json &) {
+      if (depth > kDeepest) throw Fault(FaultKind::bad_value, model::text_of(at), "a value nested too deep");
+      return true;
+    };
+    Json read = Json::parse(text, bounded, false);
     if (read.is_discarded()) throw Fault(FaultKind::bad_value, model::text_of(at), "a value that is no JSON");
     return read;
   };
--- a/tests/management/test_service.cpp
+++ b/tests/management/test_service.cpp
@@ -85,6 +85,8 @@
   for (const Row &row :
        {Row{"/front/limits/open_plays", "\"x\"", Code::INVALID_ARGUMENT, "/front/limits/open_plays"},
         Row{"/front/limits/open_plays", "0", Code::INVALID_ARGUMENT, "/front/limits/open_plays"},
+        Row{"/front/limits/open_plays", std::string(200000, '['), Code::INVALID_ARGUMENT,
+            "/front/limits/open_plays"},
         Row{"/front/limits/open_plays", "{", Code::INVALID_ARGUMENT, "/front/limits/open_plays"},
         Row{"/front/none", "1", Code::INVALID_ARGUMENT, "/front/none"},
         Row{"/state/service", "\"serving\"", Code::INVALID_ARGUMENT, "/state/service"},
