--- a/src/cli/snowshore_lab.cpp
+++ b/src/cli/snowshore_lab.cpp
@@ -44,6 +44,9 @@
           static_cast<unsigned long long>(f.asked), static_cast<unsigned long long>(f.plays),
           f.added_p50 * 1e3, f.added_p99 * 1e3, f.answer_p50 * 1e3, f.answer_p99 * 1e3, f.cpu_per_play * 1e6,
           f.in_module * 100, f.held, f.memory_empty / 1e6, f.memory_full / 1e6, f.memory_after / 1e6);
+      if (f.sets > 0)
+        std::printf("  with %llu changes meanwhile: Set p50 %.1f ms, p99 %.1f ms\n",
+                    static_cast<unsigned long long>(f.sets), f.set_p50 * 1e3, f.set_p99 * 1e3);
     }
     std::fflush(stdout);
     bool over = f.added_p99 > limit || f.plays < f.asked * 95 / 100 || f.cpu_per_play * rate > 0.95;
@@ -149,6 +152,8 @@
   measure->add_flag("--keep", load_options.keep, "Hold all plays until the last is set up, then end all");
   measure->add_option("--rounds", load_options.rounds, "The same again on the same front")
       ->check(CLI::Range(1, 20));
+  measure->add_option("--sets", load_options.sets,
+                      "Changes a second by a management client, in every second round");
   measure->add_flag("--ramp", ramp, "Double the pace until the front's added p99 passes --limit");
   measure->add_option("--limit", limit, "Seconds")->capture_default_str();
   measure->add_flag("--baseline", baseline, "The first holder in place of the module");
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -2,6 +2,7 @@
 #include "hints/hints.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "lab/manage.h"
 #include "serverwire/protocol.h"
 #include "telemetry/loop_clock.h"
 
@@ -15,6 +16,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cmath>
 #include <csignal>
@@ -214,6 +216,9 @@
         << "load: may_probe: false\nrules: {warm_up: \"1ms\", cold_share: 1, fall_multiple: 1000, fall_span: "
            "\"1s\"}\n"
         << "limits: {open_plays: 1000000, server_connections: 512, all_connections: 16000}\n"
+        << (o.sets > 0 ? "management: {listen: \"127.0.0.1:0\", plaintext: true, store: \"" + o.folder +
+                             "/store\"}\n"
+                       : "")
         << "log: {where: \"" << o.folder << "/log.jsonl\", level: \"warning\"}\n";
   std::ofstream list(o.folder + "/list.cue");
   list << "version: 1\nservers: [\n";
@@ -232,6 +237,7 @@
 std::vector<LoadFigures> measure(const LoadOptions &options) {
   LightServers servers(options.servers, options.keep ? 1e9 : options.hold);
   fs::remove(options.folder + "/ports.json"); // of an earlier measurement
+  fs::remove_all(options.folder + "/store");
   write_files(options, servers);
   Child front;
   front.pid = fork();
@@ -315,8 +321,20 @@
         if (!error && asking) arrive();
       });
     };
+    std::atomic<bool> setting{options.sets > 0 && round % 2 == 1};
+    std::vector<double> set_times;
+    std::thread setter;
+    if (setting)
+      setter = std::thread([&] {
+        set_times = set_steadily("127.0.0.1:" + std::to_string(ports["management"].get<int>()), options.sets,
+                                 setting);
+      });
     arrive();
     while (asking) run_for(0.02);
+    setting = false;
+    if (setter.joinable()) setter.join();
+    out.sets = set_times.size();
+    out.set_p50 = quantile(set_times, 0.5), out.set_p99 = quantile(set_times, 0.99);
     Scraped after = metrics();
     double cpu = front.cpu() - cpu_before;
     for (auto from = Clock::now(); waiting > 0 && seconds_since(from) < 10;) run_for(0.02);
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -14,6 +14,7 @@
   double rate = 500, seconds = 5, hold = 2; // plays a second, for so long, each held so long
   std::uint64_t seed = 1;
   bool keep = false; // plays are held until all have been set up, then all ended
+  double sets = 0;   // a second, each with a read of all state, in every second round; 0: no management
   int rounds = 1;    // the same again on the same front: memory must not grow from one to the next
 };
 
@@ -23,7 +24,9 @@
   double added_p50 = 0, added_p99 = 0;    // the front's own, by its histogram
   double cpu_per_play = 0, in_module = 0; // seconds; share of the front's processor time inside the module
   double memory_empty = 0, memory_full = 0, memory_after = 0; // bytes
-  double held = 0;                                            // plays at the fullest
+  double set_p50 = 0, set_p99 = 0;                            // seconds
+  std::uint64_t sets = 0;
+  double held = 0; // plays at the fullest
 };
 
 std::vector<LoadFigures> measure(const LoadOptions &options); // one a round; throws std::runtime_error
--- a/src/lab/manage.cpp
+++ b/src/lab/manage.cpp
@@ -319,6 +319,24 @@
   return figures;
 }
 
+std::vector<double> set_steadily(const std::string &address, double a_second,
+                                 const std::atomic<bool> &go_on) {
+  ManagementClient client(management::Target{address, "", "", "", ""});
+  std::vector<double> times;
+  auto next = Clock::now();
+  for (int i = 0; go_on; ++i) {
+    auto from = Clock::now();
+    Reply reply = client.set({edit(Edit::Kind::update, "/front/limits/open_plays", 900000 + i % 1000)});
+    if (!reply.ok()) throw std::runtime_error("a set under load: " + reply.message);
+    times.push_back(since(from));
+    std::vector<model::Leaf> leaves;
+    client.get({parse_path("/state")}, management::Kind::state, leaves);
+    next += std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(1 / a_second));
+    std::this_thread::sleep_until(next);
+  }
+  return times;
+}
+
 double recovery_time(const std::string &folder, int revisions, const std::string &text) {
   records::Source file{"front.cue", text};
   site::FrontRecord record = site::read_front({&file, 1});
--- a/src/lab/manage.h
+++ b/src/lab/manage.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "lab/run_day.h"
 
+#include <atomic>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,6 +37,9 @@
 };
 RolloutFigures roll_out(const std::vector<std::string> &addresses, int threads, int value);
 
+// Sets at this pace, each followed by a read of all state, until told to stop; seconds that each Set took.
+std::vector<double> set_steadily(const std::string &address, double a_second, const std::atomic<bool> &go_on);
+
 // Seconds to open the store and have the last of so many revisions in force, in a folder of its own.
 double recovery_time(const std::string &folder, int revisions, const std::string &front_record_text);
 
--- a/src/site/front_record.cpp
+++ b/src/site/front_record.cpp
@@ -112,7 +112,6 @@
     setters: *[] | [...string]
     sets_waiting: *16 | (int & >=1)
     streams: *32 | (int & >=1 & <=1024)
-    updates_waiting: *4096 | (int & >=16)
     behind_time: *"10s" | #Time
     snapshot_every: *"100ms" | #Time
     history: *1000 | (int & >=10 & <=100000)
@@ -207,7 +206,7 @@
   out.plaintext = record.flag("plaintext");
   out.readers = names("readers"), out.setters = names("setters");
   out.sets_waiting = size("sets_waiting"), out.streams = size("streams");
-  out.updates_waiting = size("updates_waiting"), out.history = size("history");
+  out.history = size("history");
   out.behind_time = record.seconds("behind_time"), out.snapshot_every = record.seconds("snapshot_every");
   if (out.listen.empty()) return out;
   Cross cross;
--- a/src/site/front_record.h
+++ b/src/site/front_record.h
@@ -24,7 +24,7 @@
   std::string listen, store, certificate, key, client_authority;
   bool plaintext = false;
   std::vector<std::string> readers, setters; // by certificate name
-  std::size_t sets_waiting = 16, streams = 32, updates_waiting = 4096, history = 1000;
+  std::size_t sets_waiting = 16, streams = 32, history = 1000;
   double behind_time = 10, snapshot_every = 0.1; // seconds
 };
 
