Streams under way end for clients taken off the lists of who may read

Cause: a client that may no longer read kept its streams. Change: the keeper looks at the lists of the record in force; the stream ends with PERMISSION_DENIED. Shown by a step in the certificates' case.

--- a/src/management/service.cpp
+++ b/src/management/service.cpp
@@ -281,7 +281,7 @@
             grpc::ServerReaderWriter<gnmi::SubscribeResponse, gnmi::SubscribeRequest> *stream) override {
     Client client;
     if (Status refused = allow(*context, Right::read, &client); !refused.ok()) return refused;
-    Active active(*this, *context, client.expires_at);
+    Active active(*this, *context, client);
     if (manager_.streams() > manager_.in_force()->terms.streams)
       return {StatusCode::RESOURCE_EXHAUSTED,
               "no more streams than " + std::to_string(manager_.in_force()->terms.streams) + " at a time"};
@@ -300,6 +300,8 @@
       return {StatusCode::RESOURCE_EXHAUSTED, "the subscriber stayed behind for too long"};
     if (active.cut.load() == Active::Cut::expired)
       return {StatusCode::UNAUTHENTICATED, "the client's certificate has expired"};
+    if (active.cut.load() == Active::Cut::unwelcome)
+      return {StatusCode::PERMISSION_DENIED, client.name() + " may no longer read"};
     return ended;
   }
 
@@ -308,9 +310,9 @@
 
   // A subscription under way, for the keeper to cut.
   struct Active {
-    enum class Cut { none, behind, expired };
-    Active(Gnmi &owner, grpc::ServerContext &context, double expires)
-        : gnmi(owner), call(context), expires_at(expires) {
+    enum class Cut { none, behind, expired, unwelcome };
+    Active(Gnmi &owner, grpc::ServerContext &context, const Client &who)
+        : gnmi(owner), call(context), client(who) {
       gnmi.manager_.note_stream(1);
       std::lock_guard lock(gnmi.active_mutex_);
       place = gnmi.active_.insert(gnmi.active_.end(), this);
@@ -322,7 +324,7 @@
     }
     Gnmi &gnmi;
     grpc::ServerContext &call;
-    double expires_at;
+    const Client client;
     std::atomic<double> writing_since{0}; // 0: not writing
     std::atomic<Cut> cut{Cut::none};
     std::list<Active *>::iterator place;
@@ -358,13 +360,15 @@
     while (!stop.stop_requested()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
       manager_.tick();
-      double behind = manager_.in_force()->terms.behind_time;
+      auto running = manager_.in_force();
+      double behind = running->terms.behind_time;
       std::lock_guard lock(active_mutex_);
       for (Active *one : active_) {
         if (one->cut.load() != Active::Cut::none) continue;
         double since = one->writing_since;
         if (since > 0 && manager_.now() - since > behind) one->cut = Active::Cut::behind;
-        if (one->expires_at > 0 && wall() >= one->expires_at) one->cut = Active::Cut::expired;
+        if (one->client.expires_at > 0 && wall() >= one->client.expires_at) one->cut = Active::Cut::expired;
+        if (!may(one->client, Right::read, running->terms)) one->cut = Active::Cut::unwelcome;
         if (one->cut.load() == Active::Cut::none) continue;
         manager_.note_cut();
         one->call.TryCancel();
--- a/tests/management/test_service.cpp
+++ b/tests/management/test_service.cpp
@@ -370,6 +370,19 @@
   }
   CHECK(front.rig.manager.history().back().user == "ana");
 
+  // Who is taken off the lists loses the streams under way too.
+  Watch bo(as(authority, "bo"), {{parse_path("/front/limits")}, "", 0, 0.05, 2});
+  REQUIRE(until([&] { return bo.revision() > 0; }));
+  CHECK(front.rig.manager
+            .set({{{Edit::Kind::replace, parse_path("/front/management/readers"), {"short"}}},
+                  "x",
+                  "",
+                  {},
+                  0,
+                  ""})
+            .refusal == management::Refusal::none);
+  CHECK(until([&] { return front.rig.manager.streams() == 0 || bo.streams() > 1; }));
+
   authority.sign("short", 3); // its stream ends with it
   grpc::SslCredentialsOptions ssl;
   auto slurp = [](const std::string &name) {
