--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -29,6 +29,8 @@
 
   const Endpoint server;
   State state() const { return state_; }
+  // Idle, and not past its time: a process that stood still finds timers that are due and did not run yet.
+  bool fresh() const { return state_ == State::idle && timer_.expiry() > Clock::now(); }
 
   void begin(Client::Id id, const Request &request, double time_out, Client::Done done, Client::Late late) {
     id_ = id, done_ = std::move(done), late_ = std::move(late);
@@ -219,7 +221,7 @@
   auto &connections = servers_[to];
   if (!fresh) {
     for (auto it = connections.rbegin(); it != connections.rend(); ++it) {
-      if ((*it)->state() == ClientConnection::State::idle) {
+      if ((*it)->fresh()) {
         ++counters_.reused;
         return *it;
       }
