One quantile, one whole write, one clock, one test folder in place of their copies

Cause: reading the change again found the same pieces written twice or more. Change: lab/quantile.h serves judge, load and manage (manage's p99 now takes the same place as theirs); records::write_whole serves ports files and the laboratory; the manager's clock is telemetry::LoopClock; decimal() is the model's; certificates are read by one function; tests share a folder, a front's text and the model. A function that nothing called and a second model in diff are gone. Behaviour stays.

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -73,7 +73,7 @@
 
 add_library(snowshore_management STATIC src/management/manager.cpp src/management/follower.cpp
             src/management/access.cpp src/management/wire.cpp src/management/service.cpp src/management/client.cpp)
-target_link_libraries(snowshore_management PUBLIC snowshore_transaction snowshore_model snowshore_store snowshore_site
+target_link_libraries(snowshore_management PUBLIC snowshore_transaction snowshore_model snowshore_store snowshore_site snowshore_telemetry
                       snowshore_proto PRIVATE PkgConfig::OPENSSL)
 
 add_library(snowshore_front_program STATIC src/program/run.cpp)
--- a/src/cli/manage.cpp
+++ b/src/cli/manage.cpp
@@ -124,8 +124,7 @@
   return 0;
 }
 
-int diff_documents(const std::string &from, const std::string &to) {
-  model::Model model;
+int diff_documents(const model::Model &model, const std::string &from, const std::string &to) {
   for (const model::Changed &one : model.changes(from, to))
     std::cout << one.path << ": " << (one.from ? one.from->dump() : "(none)") << " -> "
               << (one.to ? one.to->dump() : "(none)") << "  [" << name_of(one.when) << "]\n";
@@ -141,14 +140,14 @@
       if (revision.number == given.to) to = revision.document;
     }
     if (from.empty() || to.empty()) throw std::runtime_error("the store has not both revisions");
-    return diff_documents(from, to);
+    return diff_documents(model, from, to);
   }
   std::vector<Leaf> running;
   Reply reply = ManagementClient(given.target).get({parse_path("/front")}, Kind::configuration, running);
   if (!reply.ok()) return refused(reply);
   if (running.size() != 1) throw std::runtime_error("the front told of no configuration");
   std::string document = model.check(Json{{"snowshore:front", running[0].value}}.dump());
-  return diff_documents(document, model.document_of(site::load_front(given.files).record));
+  return diff_documents(model, document, model.document_of(site::load_front(given.files).record));
 }
 
 void print_history(std::uint64_t revision, double at, const std::string &user, const std::string &cause,
--- a/src/lab/judge.cpp
+++ b/src/lab/judge.cpp
@@ -1,4 +1,5 @@
 #include "lab/judge.h"
+#include "lab/quantile.h"
 
 #include <algorithm>
 #include <cmath>
@@ -483,11 +484,6 @@
   return out;
 }
 
-double quantile(const std::vector<double> &sorted, double part) {
-  if (sorted.empty()) return 0;
-  return sorted[static_cast<std::size_t>(part * static_cast<double>(sorted.size() - 1))];
-}
-
 } // namespace
 
 int Verdict::kept() const {
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -3,6 +3,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "lab/manage.h"
+#include "lab/quantile.h"
 #include "serverwire/protocol.h"
 #include "telemetry/loop_clock.h"
 
@@ -194,13 +195,6 @@
   return low;
 }
 
-double quantile(std::vector<double> &values, double part) {
-  if (values.empty()) return 0;
-  auto place = values.begin() + static_cast<std::ptrdiff_t>(part * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(), place, values.end());
-  return *place;
-}
-
 void write_files(const LoadOptions &o, const LightServers &servers) {
   fs::create_directories(o.folder);
   std::ofstream front(o.folder + "/front.cue");
--- a/src/lab/manage.cpp
+++ b/src/lab/manage.cpp
@@ -1,4 +1,5 @@
 #include "lab/manage.h"
+#include "lab/quantile.h"
 #include "management/client.h"
 #include "management/manager.h"
 
@@ -262,25 +263,19 @@
   }
   for (std::thread &one : pushers) one.join();
   figures.seconds = since(from);
-  std::ranges::sort(figures.set_times);
   return figures;
 }
 
 std::string report(const PushFigures &f) {
-  auto at = [&](double part) {
-    if (f.set_times.empty()) return 0.0;
-    return f.set_times[std::min(f.set_times.size() - 1,
-                                static_cast<std::size_t>(part * static_cast<double>(f.set_times.size())))] *
-           1e3;
-  };
   char buffer[400];
   std::snprintf(
       buffer, sizeof buffer,
       "changes: taken %d (rolled back %d), refused %d, unanswered %d (killed), undone unconfirmed %d; kills "
       "%d\nSet p50 %.1f ms, p99 %.1f ms; %.1f changes a second, each read back\nreads: %d\nreads that "
       "differ: %d\n",
-      f.taken, f.rolled_back, f.refused, f.unanswered, f.undone, f.kills, at(0.5), at(0.99),
-      (f.taken + f.refused + f.unanswered) / std::max(1e-9, f.seconds), f.reads, f.differ);
+      f.taken, f.rolled_back, f.refused, f.unanswered, f.undone, f.kills, quantile(f.set_times, 0.5) * 1e3,
+      quantile(f.set_times, 0.99) * 1e3, (f.taken + f.refused + f.unanswered) / std::max(1e-9, f.seconds),
+      f.reads, f.differ);
   std::string out = "refusals:";
   for (const auto &[code, count] : f.refusals) out += " " + code + " " + std::to_string(count);
   out += "\n" + std::string(buffer);
@@ -311,11 +306,7 @@
   }
   for (std::thread &one : workers) one.join();
   figures.seconds = since(from);
-  std::ranges::sort(times);
-  if (!times.empty()) {
-    figures.p50 = times[times.size() / 2];
-    figures.p99 = times[std::min(times.size() - 1, times.size() * 99 / 100)];
-  }
+  figures.p50 = quantile(times, 0.5), figures.p99 = quantile(times, 0.99);
   return figures;
 }
 
--- a/src/lab/manage.h
+++ b/src/lab/manage.h
@@ -20,7 +20,7 @@
   int taken = 0, refused = 0, unanswered = 0, kills = 0, rolled_back = 0, undone = 0;
   int reads = 0, differ = 0;
   std::map<std::string, int> refusals; // by code
-  std::vector<double> set_times;       // seconds, sorted
+  std::vector<double> set_times;       // seconds
   std::vector<std::string> evidence;   // of the first differences
   double seconds = 0;
 };
--- a/src/lab/run_day.cpp
+++ b/src/lab/run_day.cpp
@@ -20,6 +20,7 @@
 
 namespace snowshore::lab {
 
+using records::write_whole;
 using telemetry::span;
 
 namespace {
@@ -29,14 +30,6 @@
 constexpr double kDownFor = 0.1; // after a kill from beside
 constexpr double kTick = 0.1, kReadyWithin = 20, kEndWithin = 5;
 
-void write_whole(const std::string &file, const std::string &text) { // beside, then renamed over
-  std::ofstream out(file + ".new");
-  out << text;
-  out.close();
-  if (!out || std::rename((file + ".new").c_str(), file.c_str()) != 0)
-    throw std::runtime_error("cannot write " + file);
-}
-
 // One front as a process. Its own children only: stopped, continued and killed by their ids.
 class FrontProcess {
  public:
--- a/src/management/access.cpp
+++ b/src/management/access.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <fstream>
 #include <memory>
 
 namespace snowshore::management {
@@ -28,6 +29,13 @@
   return !names.empty() ? names[0] : plaintext ? kLoopback : kNobody;
 }
 
+std::string certificate_text(const std::string &file) {
+  std::ifstream in(file);
+  std::string text((std::istreambuf_iterator<char>(in)), {});
+  if (text.empty()) throw std::runtime_error("management: " + file + " cannot be read");
+  return text;
+}
+
 double expiry_of(const std::string &pem) {
   std::unique_ptr<BIO, decltype(&BIO_free)> bio(BIO_new_mem_buf(pem.data(), static_cast<int>(pem.size())),
                                                 BIO_free);
--- a/src/management/access.h
+++ b/src/management/access.h
@@ -22,6 +22,8 @@
 // Whether it may; a plaintext client on loopback may all.
 bool may(const Client &client, Right right, const site::ManagementTerms &terms);
 
+// A certificate's or key's text; throws std::runtime_error naming a file that holds none.
+std::string certificate_text(const std::string &file);
 double expiry_of(const std::string &certificate_pem); // epoch seconds; 0 where it cannot be read
 
 } // namespace snowshore::management
--- a/src/management/client.cpp
+++ b/src/management/client.cpp
@@ -1,11 +1,11 @@
 #include "management/client.h"
 #include "gnmi.grpc.pb.h"
+#include "management/access.h"
 #include "management/wire.h"
 
 #include <grpcpp/grpcpp.h>
 
 #include <condition_variable>
-#include <fstream>
 #include <set>
 #include <thread>
 
@@ -18,13 +18,6 @@
 
 constexpr int kLongestMessage = 128 << 20;
 
-std::string file(const std::string &name) {
-  std::ifstream in(name);
-  std::string text((std::istreambuf_iterator<char>(in)), {});
-  if (text.empty()) throw std::runtime_error(name + " cannot be read");
-  return text;
-}
-
 std::shared_ptr<grpc::Channel> open(const Target &target) {
   grpc::ChannelArguments arguments;
   arguments.SetMaxReceiveMessageSize(kLongestMessage);
@@ -36,10 +29,10 @@
   if (target.authority.empty())
     return grpc::CreateCustomChannel(target.address, grpc::InsecureChannelCredentials(), arguments);
   grpc::SslCredentialsOptions options;
-  options.pem_root_certs = file(target.authority);
+  options.pem_root_certs = certificate_text(target.authority);
   if (!target.certificate.empty()) {
-    options.pem_cert_chain = file(target.certificate);
-    options.pem_private_key = file(target.key);
+    options.pem_cert_chain = certificate_text(target.certificate);
+    options.pem_private_key = certificate_text(target.key);
   }
   if (!target.server_name.empty()) arguments.SetSslTargetNameOverride(target.server_name);
   return grpc::CreateCustomChannel(target.address, grpc::SslCredentials(options), arguments);
--- a/src/management/manager.cpp
+++ b/src/management/manager.cpp
@@ -4,18 +4,13 @@
 
 namespace snowshore::management {
 
+using model::decimal;
 using model::Json;
 
 namespace {
 
 double whole_seconds(double age) { return std::floor(age); } // ages change always; a second is news enough
 
-std::string decimal(double value) {
-  char buffer[64];
-  std::snprintf(buffer, sizeof buffer, "%.6f", value);
-  return buffer;
-}
-
 const char *name_of(Standing standing) {
   return standing == Standing::active ? "active" : standing == Standing::leaving ? "leaving" : "left";
 }
@@ -54,13 +49,9 @@
 } // namespace
 
 Manager::Manager(const model::Model &model, store::Store &store, std::size_t history, std::string version)
-    : model_(model), store_(store), version_(std::move(version)), transactions_(store, *this, history) {
-  epoch_ = std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
+    : model_(model), store_(store), version_(std::move(version)), transactions_(store, *this, history) {}
 
-double Manager::now() const {
-  return epoch_ + std::chrono::duration<double>(std::chrono::steady_clock::now() - began_).count();
-}
+double Manager::now() const { return clock_.exact() + ahead_; }
 
 const Manager::Checked &Manager::checked(const std::string &document) {
   if (checked_ && checked_->document == document) return *checked_;
@@ -109,7 +100,7 @@
   std::lock_guard lock(sets_);
   std::string first = model_.document_of(from_files.record);
   auto revisions = store_.read();
-  if (!revisions.empty()) epoch_ = std::max(epoch_, revisions.back().at); // a clock that was set back
+  if (!revisions.empty()) ahead_ = std::max(0.0, revisions.back().at - clock_.exact()); // it was set back
   Answer answer = transactions_.recover(first, now());
   if (answer.refusal != Refusal::none) throw std::runtime_error("the configuration in force: " + answer.why);
   std::string before = store_.text("files");
--- a/src/management/manager.h
+++ b/src/management/manager.h
@@ -7,9 +7,9 @@
 #include "site/front_record.h"
 #include "site/front_state.h"
 #include "store/store.h"
+#include "telemetry/loop_clock.h"
 
 #include <atomic>
-#include <chrono>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -111,8 +111,8 @@
   std::mutex state_mutex_;
   std::string state_;
   double state_at_ = -1e9;
-  std::chrono::steady_clock::time_point began_ = std::chrono::steady_clock::now();
-  double epoch_ = 0;
+  telemetry::LoopClock clock_;
+  double ahead_ = 0; // of the last revision before the clock, at the start
 };
 
 } // namespace snowshore::management
--- a/src/management/service.cpp
+++ b/src/management/service.cpp
@@ -10,7 +10,6 @@
 #include <grpcpp/security/tls_credentials_options.h>
 
 #include <cmath>
-#include <fstream>
 #include <list>
 #include <thread>
 
@@ -112,16 +111,10 @@
   bool has_state_ = false;
 };
 
-std::string read_file(const std::string &name) {
-  std::ifstream in(name);
-  std::string text((std::istreambuf_iterator<char>(in)), {});
-  if (text.empty()) throw std::runtime_error("management: " + name + " cannot be read");
-  return text;
-}
-
 std::shared_ptr<grpc::ServerCredentials> credentials(const site::ManagementTerms &terms) {
   if (terms.plaintext) return grpc::InsecureServerCredentials();
-  for (const std::string *name : {&terms.certificate, &terms.key, &terms.client_authority}) read_file(*name);
+  for (const std::string *name : {&terms.certificate, &terms.key, &terms.client_authority})
+    certificate_text(*name);
   // Read again when they change; streams under way go on with what they began with.
   auto files = std::make_shared<grpc::experimental::FileWatcherCertificateProvider>(
       terms.key, terms.certificate, terms.client_authority, kReloadCertificates);
--- a/src/model/model.cpp
+++ b/src/model/model.cpp
@@ -18,6 +18,12 @@
   return kNames[static_cast<int>(when)];
 }
 
+std::string decimal(double value) {
+  char buffer[64];
+  std::snprintf(buffer, sizeof buffer, "%.6f", value);
+  return buffer;
+}
+
 Tree::~Tree() { lyd_free_all(root_); }
 
 namespace {
@@ -130,20 +136,19 @@
   });
 }
 
-std::string decimal(const records::Record &where, double value) {
-  char buffer[64];
-  std::snprintf(buffer, sizeof buffer, "%.6f", value);
-  if (std::abs(std::strtod(buffer, nullptr) - value) > std::abs(value) * 1e-9)
+std::string exact_decimal(const records::Record &where, double value) {
+  std::string text = decimal(value);
+  if (std::abs(std::strtod(text.c_str(), nullptr) - value) > std::abs(value) * 1e-9)
     throw records::RecordError({{where.value().place, where.path(), "a number of no more than six decimals",
                                  records::describe(where.value())}});
-  return buffer;
+  return text;
 }
 
 Json scalar_of(const lysc_node *node, const records::Record &value) {
   LY_DATA_TYPE base = type_of(node)->basetype;
-  if (units_of(node) == "seconds") return decimal(value, records::parse_seconds(value.as_text()));
-  if (units_of(node) == "kilobytes per second") return decimal(value, value.as_rate());
-  if (base == LY_TYPE_DEC64) return decimal(value, value.as_number());
+  if (units_of(node) == "seconds") return exact_decimal(value, records::parse_seconds(value.as_text()));
+  if (units_of(node) == "kilobytes per second") return exact_decimal(value, value.as_rate());
+  if (base == LY_TYPE_DEC64) return exact_decimal(value, value.as_number());
   if (as_number(base)) return static_cast<std::int64_t>(value.as_number());
   if (as_string(base)) return std::to_string(static_cast<std::int64_t>(value.as_number()));
   if (base == LY_TYPE_BOOL) return value.value().flag;
@@ -303,28 +308,22 @@
 }
 
 void Model::must_be_known(const Path &path) const {
-  std::string xpath = xpath_of(path);
+  xpath_of(path); // throws where a name could be none
   if (path.empty()) return;
   bool known = true;
   if (!has_wildcard(path)) {
     known = schema_of(path) != nullptr;
   } else {
-    std::string bare; // the schema knows no key values
-    Path without = path;
+    Path without = path; // the schema knows no key values
     for (PathElem &elem : without) elem.keys.clear();
-    bare = xpath_of(without);
     ly_set *set = nullptr;
-    known = lys_find_xpath(context_, nullptr, bare.c_str(), 0, &set) == LY_SUCCESS && set->count > 0;
+    known =
+        lys_find_xpath(context_, nullptr, xpath_of(without).c_str(), 0, &set) == LY_SUCCESS && set->count > 0;
     ly_set_free(set, nullptr);
   }
   if (!known) throw Fault(FaultKind::unknown_path, text_of(path), "the model has no such path");
 }
 
-bool Model::is_configuration(const Path &path) const {
-  const lysc_node *node = has_wildcard(path) || path.empty() ? nullptr : schema_of(path);
-  return path.empty() || (node ? (node->flags & LYS_CONFIG_W) != 0 : path[0].name.ends_with("front"));
-}
-
 std::vector<lyd_node *> Model::find(const Tree &tree, const Path &path) const {
   must_be_known(path);
   std::vector<lyd_node *> found;
--- a/src/model/model.h
+++ b/src/model/model.h
@@ -41,6 +41,8 @@
   std::optional<Json> from, to; // none: not there
 };
 
+std::string decimal(double value); // with the six decimals that the model's decimal64 have
+
 class Tree { // data that the model has read
  public:
   Tree() = default;
@@ -79,7 +81,6 @@
   std::vector<Leaf> subtrees(const Tree &tree, const Path &path) const; // what it names itself
   // Throws Fault where the schema has nothing that the path could name.
   void must_be_known(const Path &path) const;
-  bool is_configuration(const Path &path) const; // one that is known
 
   static const char *const kName, *const kRevision, *const kOrganization;
 
--- a/src/program/run.cpp
+++ b/src/program/run.cpp
@@ -2,8 +2,6 @@
 #include "management/service.h"
 
 #include <csignal>
-#include <cstdio>
-#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -17,15 +15,12 @@
 
 constexpr int kTurnLimit = 256; // handlers of one turn, all under one clock reading
 
-// Written whole beside and renamed over, for whoever waits for the ports.
+// For whoever waits for the ports.
 void write_ports(const std::string &file, const Edge &edge, int management) {
   if (file.empty()) return;
-  std::ofstream out(file + ".new");
-  out << "{\"players\": " << edge.players().port() << ", \"operators\": " << edge.operators().port()
-      << ", \"management\": " << management << "}\n";
-  out.close();
-  if (!out || std::rename((file + ".new").c_str(), file.c_str()) != 0)
-    throw std::runtime_error("cannot write " + file);
+  records::write_whole(file, "{\"players\": " + std::to_string(edge.players().port()) +
+                                 ", \"operators\": " + std::to_string(edge.operators().port()) +
+                                 ", \"management\": " + std::to_string(management) + "}\n");
 }
 
 // Management's threads reach the front through its executor: a call is posted, its answer waited for. Once
--- a/src/records/records.cpp
+++ b/src/records/records.cpp
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <fstream>
 #include <limits>
 #include <set>
@@ -390,6 +391,14 @@
   return {name, text.str()};
 }
 
+void write_whole(const std::string &name, const std::string &text) {
+  std::ofstream out(name + ".new");
+  out << text;
+  out.close();
+  if (!out || std::rename((name + ".new").c_str(), name.c_str()) != 0)
+    throw std::runtime_error("cannot write " + name);
+}
+
 Ref evaluate(std::span<const Source> files) {
   Package package;
   for (const Source &file : files) package.add(file, false);
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -1,6 +1,6 @@
 // Settings as typed records: files in a subset of CUE's syntax, unified with a schema that the program holds.
 // All errors of a reading come together, each with file, line, path, what was expected and what stands there.
-// Nothing here keeps state or does I/O but load_file.
+// Nothing here keeps state or does I/O but load_file and write_whole.
 //
 // The subset: structs, definitions (#Name, closed), optional (a?:) and required (a!:) fields, [string]:
 // patterns, lists ([1, 2], [...int]), bounds, =~ and !~ (RE2, as in CUE), disjunctions with defaults, &,
@@ -62,6 +62,9 @@
 
 Source load_file(const std::string &name); // throws RecordError when it cannot be read
 
+// Written whole beside and renamed over; throws std::runtime_error naming the file.
+void write_whole(const std::string &name, const std::string &text);
+
 double parse_seconds(std::string_view text); // NaN where it is no duration
 double parse_rate(std::string_view text);    // NaN where it is no rate
 
--- a/tests/management/rig.h
+++ b/tests/management/rig.h
@@ -1,42 +1,17 @@
 // A manager over a real store in a folder of its own, before a front of the test's making.
 #pragma once
+#include "folder.h"
 #include "management/manager.h"
-
-#include <cstdlib>
-#include <filesystem>
+#include "model/front_text.h"
 
 namespace snowshore::testing {
 
-inline const char *const kFrontText = R"(
-name: "edge-1"
-list: {file: "list.cue", catalogue: "titles.cue"}
-fleet: {cells: 4, kinds: [{name: "small", places: 24}], link_per_weight: "25MB/s"}
-products: [{name: "film", first_frame_target: "800ms", time_limit: "4s", top: 1},
-           {name: "live", first_frame_target: "1s", time_limit: "2s", top: 0, seats: 5}]
-rungs: [{rate: "200kB/s", importance: 0.2}, {rate: "450kB/s", importance: 1}]
-rules: {warm_up: "12s", cold_share: 0.5, fall_multiple: 2, fall_span: "2s"}
-)";
-
-inline site::FrontRecord front_record(const std::string &more = "") {
-  records::Source files[] = {{"front.cue", kFrontText}, {"more.cue", more}};
-  return site::read_front(files);
-}
-
-struct Folder {
-  std::string name;
-  Folder() {
-    char made[] = "/tmp/snowshore-managed-XXXXXX";
-    name = mkdtemp(made);
-  }
-  ~Folder() { std::filesystem::remove_all(name); }
-};
-
 struct FakeFront final : management::FrontPort { // called by management's threads
   std::mutex mutex;
   std::string refuses, fails; // why, for all that comes
   std::function<void()> before_check, before_change, after_change;
   std::size_t open_plays = 0; // of the record it runs with
-  int changes = 0, drained = 0, states = 0;
+  int changes = 0, drained = 0;
   site::FrontState now;
   std::optional<std::string> refusal_of(const site::FrontRecord &, bool) override {
     if (before_check) before_check();
@@ -56,16 +31,10 @@
   }
   site::FrontState state() override {
     std::lock_guard lock(mutex);
-    ++states;
     return now;
   }
 };
 
-inline const model::Model &built_in() {
-  static const model::Model model;
-  return model;
-}
-
 struct Rig { // as the program puts it together
   FakeFront front;
   store::Store store;
--- a/tests/model/test_model.cpp
+++ b/tests/model/test_model.cpp
@@ -1,5 +1,4 @@
-#include "model/model.h"
-#include "site/front_record.h"
+#include "model/front_text.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,29 +6,15 @@
 
 using namespace snowshore;
 using namespace snowshore::model;
+using namespace snowshore::testing;
 
 namespace {
 
-const char *const kLeast = R"(
-name: "edge-1"
-list: {file: "list.cue", catalogue: "titles.cue"}
-fleet: {cells: 4, kinds: [{name: "small", places: 24}], link_per_weight: "25MB/s"}
-products: [{name: "film", first_frame_target: "800ms", time_limit: "4s", top: 1},
-           {name: "live", first_frame_target: "1s", time_limit: "2s", top: 0, seats: 5}]
-rungs: [{rate: "200kB/s", importance: 0.2}, {rate: "450kB/s", importance: 1}]
-rules: {warm_up: "12s", cold_share: 0.5, fall_multiple: 2, fall_span: "2s"}
-)";
-
 site::FrontRecord read(const std::string &text) {
   records::Source file{"test.cue", text};
   return site::read_front({&file, 1});
 }
 
-const Model &built_in() {
-  static const Model model;
-  return model;
-}
-
 Edit update(const char *path, Json value) { return {Edit::Kind::update, parse_path(path), std::move(value)}; }
 Edit replace(const char *path, Json value) {
   return {Edit::Kind::replace, parse_path(path), std::move(value)};
@@ -60,7 +45,7 @@
 } // namespace
 
 TEST_CASE("the model's defaults are the record's") {
-  Json least = Json::parse(built_in().document_of(read(kLeast).record));
+  Json least = Json::parse(built_in().document_of(read(kFrontText).record));
   // What the record leaves out is left out here too; the model fills it in.
   Json &front = least["snowshore:front"];
   Json bare = Json::object();
@@ -124,7 +109,7 @@
 }
 
 TEST_CASE("edits: what is taken, in one table") {
-  const std::string document = built_in().document_of(read(kLeast).record);
+  const std::string document = built_in().document_of(read(kFrontText).record);
   struct Row {
     std::vector<Edit> edits;
     const char *path, *value;
@@ -173,7 +158,7 @@
 }
 
 TEST_CASE("edits: what is refused, with kind and path") {
-  const std::string document = built_in().document_of(read(kLeast).record);
+  const std::string document = built_in().document_of(read(kFrontText).record);
   struct Row {
     Edit edit;
     FaultKind kind;
@@ -217,7 +202,7 @@
 }
 
 TEST_CASE("what a change touches, and when that can be taken") {
-  const std::string document = built_in().document_of(read(kLeast).record);
+  const std::string document = built_in().document_of(read(kFrontText).record);
   struct Row {
     Edit edit;
     const char *path;
@@ -266,7 +251,7 @@
     CAPTURE(row.pattern, row.path);
     CHECK(covers(parse_path(row.pattern), parse_path(row.path)) == row.covered);
   }
-  const std::string document = built_in().document_of(read(kLeast).record);
+  const std::string document = built_in().document_of(read(kFrontText).record);
   Tree tree = built_in().read(document);
   CHECK(built_in().leaves(tree, parse_path("/front/products[name=*]/floor")).size() == 2);
   CHECK(built_in().leaves(tree, parse_path("/front/.../name")).size() == 4);
--- a/tests/store/test_store.cpp
+++ b/tests/store/test_store.cpp
@@ -1,9 +1,9 @@
+#include "folder.h"
 #include "store/store.h"
 
 #include <catch2/catch.hpp>
 
 #include <csignal>
-#include <filesystem>
 #include <fstream>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -12,18 +12,10 @@
 using namespace snowshore;
 using store::Store;
 using store::StoreError;
+using testing::Folder;
 
 namespace {
 
-struct Folder {
-  std::string name;
-  Folder() {
-    char made[] = "/tmp/snowshore-store-XXXXXX";
-    name = mkdtemp(made);
-  }
-  ~Folder() { std::filesystem::remove_all(name); }
-};
-
 management::Revision revision(std::uint64_t number, const std::string &document = "{}") {
   return {number, document, "ana", "test \"quoted\"", 12.5, 0, number - 1, ""};
 }
