The list's files are polled where the system has no watch left to give

Cause: 122 of 250 fronts of one user on one machine ended at the start for want of inotify instances. Change: where inotify gives EMFILE or ENOSPC the two files' stamps are looked at ten times a second; told in the log. Shown: the list files' case runs over both ways of watching.

--- a/src/edge/list_source.cpp
+++ b/src/edge/list_source.cpp
@@ -1,13 +1,16 @@
 #include "edge/list_source.h"
 #include "site/front_record.h"
+#include "telemetry/loop_clock.h"
 
 #include <sys/inotify.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
 #include <filesystem>
 #include <set>
 #include <system_error>
+#include <utility>
 
 namespace snowshore::edge {
 
@@ -15,23 +18,22 @@
 
 constexpr std::uint32_t kWatched = IN_CLOSE_WRITE | IN_MOVED_TO | IN_CREATE | IN_DELETE | IN_MOVED_FROM;
 
-class WatchedFiles final : public ListSource {
- public:
-  WatchedFiles(asio::io_context &io, std::string list, std::string catalogue)
-      : io_(io), stream_(io), list_(std::move(list)), catalogue_(std::move(catalogue)) {
-    int fd = inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
-    if (fd < 0) throw std::system_error(errno, std::system_category(), "cannot watch the server list");
-    stream_.assign(fd);
-    std::set<std::string> folders;
-    for (const std::string &file : {list_, catalogue_}) {
-      auto folder = std::filesystem::path(file).parent_path().string();
-      folders.insert(folder.empty() ? "." : folder);
-    }
-    for (const std::string &folder : folders) {
-      if (inotify_add_watch(fd, folder.c_str(), kWatched) < 0)
-        throw std::system_error(errno, std::system_category(), "cannot watch the folder " + folder);
-    }
+constexpr double kPollEvery = 0.1; // seconds, where the system has no watch to give
+
+std::set<std::string> folders_of(const std::string &list, const std::string &catalogue) {
+  std::set<std::string> folders;
+  for (const std::string &file : {list, catalogue}) {
+    auto folder = std::filesystem::path(file).parent_path().string();
+    folders.insert(folder.empty() ? "." : folder);
   }
+  return folders;
+}
+
+// The two files read and told of; when to read again is the derived class's.
+class Files : public ListSource {
+ public:
+  Files(asio::io_context &io, std::string list, std::string catalogue)
+      : io_(io), list_(std::move(list)), catalogue_(std::move(catalogue)) {}
 
   void start(Events events) override {
     events_ = std::move(events);
@@ -49,8 +51,46 @@
     });
   }
 
+ protected:
+  virtual void wait() = 0; // for the next change; reads what has changed, then waits again
+
+  void read_list_file() {
+    try {
+      events_.list(read_list(list_, records::load_file(list_).text));
+    } catch (const records::RecordError &error) {
+      events_.unavailable(error.what());
+    }
+  }
+
+  void read_catalogue_file() {
+    try {
+      events_.catalogue(read_catalogue(catalogue_, records::load_file(catalogue_).text));
+    } catch (const records::RecordError &error) {
+      events_.unavailable(error.what());
+    }
+  }
+
+  asio::io_context &io_;
+  std::string list_, catalogue_;
+  Events events_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+class WatchedFiles final : public Files {
+ public:
+  WatchedFiles(asio::io_context &io, const std::string &list, const std::string &catalogue)
+      : Files(io, list, catalogue), stream_(io) {
+    int fd = inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
+    if (fd < 0) throw std::system_error(errno, std::system_category(), "cannot watch the server list");
+    stream_.assign(fd);
+    for (const std::string &folder : folders_of(list, catalogue)) {
+      if (inotify_add_watch(fd, folder.c_str(), kWatched) < 0)
+        throw std::system_error(errno, std::system_category(), "cannot watch the folder " + folder);
+    }
+  }
+
  private:
-  void wait() {
+  void wait() override {
     stream_.async_read_some(asio::buffer(buffer_), [this, alive = std::weak_ptr<bool>(alive_)](
                                                        asio::error_code error, std::size_t size) {
       if (alive.expired() || error) return;
@@ -70,28 +110,53 @@
     });
   }
 
-  void read_list_file() {
-    try {
-      events_.list(read_list(list_, records::load_file(list_).text));
-    } catch (const records::RecordError &error) {
-      events_.unavailable(error.what());
+  asio::posix::stream_descriptor stream_;
+  alignas(inotify_event) std::array<char, 16384> buffer_;
+};
+
+// Looks at both files' stamps; a file that is gone has none.
+class PolledFiles final : public Files {
+ public:
+  PolledFiles(asio::io_context &io, const std::string &list, const std::string &catalogue)
+      : Files(io, list, catalogue), timer_(io) {
+    for (const std::string &folder : folders_of(list, catalogue)) {
+      if (!std::filesystem::is_directory(folder))
+        throw std::system_error(ENOENT, std::system_category(), "cannot watch the folder " + folder);
     }
+    changed(list_, list_stamp_), changed(catalogue_, catalogue_stamp_);
   }
+  bool polls() const override { return true; }
 
-  void read_catalogue_file() {
-    try {
-      events_.catalogue(read_catalogue(catalogue_, records::load_file(catalogue_).text));
-    } catch (const records::RecordError &error) {
-      events_.unavailable(error.what());
+ private:
+  struct Stamp {
+    ino_t file = 0;
+    off_t size = 0;
+    timespec written{};
+    bool operator==(const Stamp &o) const {
+      return file == o.file && size == o.size && written.tv_sec == o.written.tv_sec &&
+             written.tv_nsec == o.written.tv_nsec;
     }
+  };
+
+  static bool changed(const std::string &name, Stamp &last) {
+    struct stat now {};
+    Stamp next;
+    if (stat(name.c_str(), &now) == 0) next = {now.st_ino, now.st_size, now.st_mtim};
+    return !(std::exchange(last, next) == next);
   }
 
-  asio::io_context &io_;
-  asio::posix::stream_descriptor stream_;
-  std::string list_, catalogue_;
-  Events events_;
-  alignas(inotify_event) std::array<char, 16384> buffer_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  void wait() override {
+    timer_.expires_after(telemetry::span(kPollEvery));
+    timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+      if (alive.expired() || error) return;
+      if (changed(catalogue_, catalogue_stamp_)) read_catalogue_file();
+      if (changed(list_, list_stamp_)) read_list_file();
+      wait();
+    });
+  }
+
+  asio::steady_timer timer_;
+  Stamp list_stamp_, catalogue_stamp_;
 };
 
 } // namespace
@@ -139,7 +204,18 @@
 
 std::unique_ptr<ListSource> watch_files(asio::io_context &io, const std::string &list,
                                         const std::string &catalogue) {
-  return std::make_unique<WatchedFiles>(io, list, catalogue);
+  try {
+    return std::make_unique<WatchedFiles>(io, list, catalogue);
+  } catch (const std::system_error &error) {
+    // Many fronts of one user on a machine: the system's watches are all given out.
+    if (error.code().value() != EMFILE && error.code().value() != ENOSPC) throw;
+    return poll_files(io, list, catalogue);
+  }
+}
+
+std::unique_ptr<ListSource> poll_files(asio::io_context &io, const std::string &list,
+                                       const std::string &catalogue) {
+  return std::make_unique<PolledFiles>(io, list, catalogue);
 }
 
 } // namespace snowshore::edge
--- a/src/edge/list_source.h
+++ b/src/edge/list_source.h
@@ -42,12 +42,17 @@
   virtual ~ListSource() = default;
   virtual void start(Events events) = 0;
   virtual void ask() = 0; // for the list anew; answers by an event
+  virtual bool polls() const { return false; }
 };
 
-// Watches both files' folders (inotify), so that a file written beside and renamed over is seen whole.
+// Watches both files' folders (inotify), so that a file written beside and renamed over is seen whole; where
+// the system has no watch left to give, polls them.
 std::unique_ptr<ListSource> watch_files(asio::io_context &io, const std::string &list,
                                         const std::string &catalogue);
 
+std::unique_ptr<ListSource> poll_files(asio::io_context &io, const std::string &list,
+                                       const std::string &catalogue);
+
 // The records' reading, apart from the watching. Throw records::RecordError.
 ServerList read_list(const std::string &name, const std::string &text);
 Catalogue read_catalogue(const std::string &name, const std::string &text);
--- a/src/program/run.cpp
+++ b/src/program/run.cpp
@@ -100,6 +100,7 @@
     telemetry::Log log(record.log_where, telemetry::level_of(record.log_level));
     asio::io_context io(1);
     auto source = edge::watch_files(io, record.list_file, record.catalogue_file);
+    if (source->polls()) log.warning("list_polled", {{"cause", "the system has no file watch left to give"}});
     std::string ports = record.ports_file;
     Edge edge(io, record, log, std::move(source), std::move(make));
     PortOnExecutor port(io, edge);
--- a/tests/edge/test_edge.cpp
+++ b/tests/edge/test_edge.cpp
@@ -306,45 +306,54 @@
     std::ofstream(folder / "new") << text;
     std::filesystem::rename(folder / "new", folder / name);
   };
-  std::string right = "version: 1, servers: [{id: \"s0\", address: \"127.0.0.1:9\", cell: 0}]";
-  put("list.cue", right);
-  put("cat.cue", "version: 1, titles: {a: {cell: 0, cells: 1}}");
-  asio::io_context io;
-  auto source = edge::watch_files(io, (folder / "list.cue").string(), (folder / "cat.cue").string());
-  std::vector<std::string> heard;
-  edge::ListSource::Events events;
-  events.list = [&](edge::ServerList list) {
-    heard.push_back("list " + std::to_string(list.servers.size()));
-  };
-  events.catalogue = [&](edge::Catalogue catalogue) {
-    heard.push_back("titles " + std::to_string(catalogue.size()));
-  };
-  events.unavailable = [&](const std::string &why) { heard.push_back(why); };
-  source->start(std::move(events));
-  auto next = [&] {
-    run_until(io, [&] { return !heard.empty(); });
-    std::string first = heard.empty() ? "nothing" : heard.front();
-    if (!heard.empty()) heard.erase(heard.begin());
-    return first;
-  };
-  CHECK(next() == "titles 1");
-  CHECK(next() == "list 1");
-  put("list.cue", "version: 2, servers: [{id: \"s0\", address: \"127.0.0.1:9\"}]");
-  std::string missing = next();
-  CAPTURE(missing);
-  CHECK(missing.find("list.cue:1:23: servers[0].cell: expected int & >=0") != std::string::npos);
-  put("list.cue", "version: 2, servers: [{id: \"a\", address: \"127.0.0.1:99999\", cell: 0}, {id: \"a\", "
-                  "address: \"127.0.0.1:9\", cell: 0}]");
-  std::string both = next();
-  CHECK(both.find("servers[0].address") != std::string::npos);
-  CHECK(both.find("servers[1].id") != std::string::npos);
-  std::filesystem::remove(folder / "list.cue");
-  CHECK(next().find("a file that can be read") != std::string::npos);
-  put("list.cue", right);
-  CHECK(next() == "list 1");
-  source->ask();
-  CHECK(next() == "list 1");
+  for (bool polled : {false, true}) {
+    CAPTURE(polled);
+    std::string right = "version: 1, servers: [{id: \"s0\", address: \"127.0.0.1:9\", cell: 0}]";
+    put("list.cue", right);
+    put("cat.cue", "version: 1, titles: {a: {cell: 0, cells: 1}}");
+    asio::io_context io;
+    auto open = polled ? edge::poll_files : edge::watch_files;
+    auto source = open(io, (folder / "list.cue").string(), (folder / "cat.cue").string());
+    CHECK(source->polls() == polled);
+    std::vector<std::string> heard;
+    edge::ListSource::Events events;
+    events.list = [&](edge::ServerList list) {
+      heard.push_back("list " + std::to_string(list.servers.size()));
+    };
+    events.catalogue = [&](edge::Catalogue catalogue) {
+      heard.push_back("titles " + std::to_string(catalogue.size()));
+    };
+    events.unavailable = [&](const std::string &why) { heard.push_back(why); };
+    source->start(std::move(events));
+    auto next = [&] {
+      run_until(io, [&] { return !heard.empty(); });
+      std::string first = heard.empty() ? "nothing" : heard.front();
+      if (!heard.empty()) heard.erase(heard.begin());
+      return first;
+    };
+    CHECK(next() == "titles 1");
+    CHECK(next() == "list 1");
+    put("list.cue", "version: 2, servers: [{id: \"s0\", address: \"127.0.0.1:9\"}]");
+    std::string missing = next();
+    CAPTURE(missing);
+    CHECK(missing.find("list.cue:1:23: servers[0].cell: expected int & >=0") != std::string::npos);
+    put("list.cue", "version: 2, servers: [{id: \"a\", address: \"127.0.0.1:99999\", cell: 0}, {id: \"a\", "
+                    "address: \"127.0.0.1:9\", cell: 0}]");
+    std::string both = next();
+    CHECK(both.find("servers[0].address") != std::string::npos);
+    CHECK(both.find("servers[1].id") != std::string::npos);
+    std::filesystem::remove(folder / "list.cue");
+    CHECK(next().find("a file that can be read") != std::string::npos);
+    put("list.cue", right);
+    CHECK(next() == "list 1");
+    source->ask();
+    CHECK(next() == "list 1");
+  }
   std::filesystem::remove_all(folder);
+  for (auto open : {edge::poll_files, edge::watch_files}) {
+    asio::io_context io;
+    CHECK_THROWS_WITH(open(io, "/nowhere/list.cue", "/nowhere/cat.cue"), Catch::Contains("/nowhere"));
+  }
 }
 
 TEST_CASE("a play goes only from state to state as the table allows") {
