Edge split into a core and its HTTP doors

Need: the platform's protocol is to be another pair of doors on the same front. The core keeps the module, clock, timers, time-limit guard, plays and id tables, and alone calls policy.h; doors implement two narrow interfaces (edge/doors.h) and keep what their protocol needs of a play beside its index. Play ids in the core are numbers; the HTTP door spells them out. A play may be handed over (asked to playing).

--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -50,7 +50,7 @@
 target_link_libraries(snowshore_store PUBLIC snowshore_transaction PRIVATE PkgConfig::ROCKSDB nlohmann_json::nlohmann_json)
 
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
-            src/edge/plays.cpp src/edge/edge.cpp src/edge/change.cpp)
+            src/edge/plays.cpp src/edge/core.cpp src/edge/edge.cpp src/edge/change.cpp)
 target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
 
 # gNMI, from proto/.
--- a/src/edge/change.cpp
+++ b/src/edge/change.cpp
@@ -15,15 +15,16 @@
 
 // Limits under what is in use would break a rule for plays that are in hand.
 std::optional<std::string> Edge::in_use(const FrontRecord &next) {
-  if (plays_.open() > next.limits.open_plays) return held("/front/limits/open_plays", plays_.open());
+  if (core_.plays().open() > next.limits.open_plays)
+    return held("/front/limits/open_plays", core_.plays().open());
   if (players_->connections() > next.limits.players.connections)
     return held("/front/limits/connections", players_->connections());
   if (client_.connections() > next.limits.servers.in_all)
     return held("/front/limits/all_connections", client_.connections());
   std::optional<std::string> why;
   std::map<std::pair<int, int>, int> seats; // by title and product
-  plays_.each([&](int index) {
-    const HeldPlay &play = plays_.at(index);
+  core_.plays().each([&](int index) {
+    const HeldPlay &play = core_.plays().at(index);
     if (play.state != PlayState::playing && play.state != PlayState::allocating) return;
     const ProductTerms &terms = next.products[static_cast<std::size_t>(play.product)];
     std::string path = "/front/products[name=" + terms.name + "]";
@@ -32,20 +33,20 @@
     int taken = ++seats[{play.title, play.product}];
     if (terms.seats > 0 && taken > terms.seats)
       why =
-          path + "/seats: " + std::to_string(taken) + " or more are taken of title " + titles_.id(play.title);
+          path + "/seats: " + std::to_string(taken) + " or more are taken of title " + core_.title_of(index);
   });
   return why;
 }
 
 std::optional<std::string> Edge::refusal_of(const FrontRecord &next, bool drained) {
   if (!drained) return in_use(next);
-  if (plays_.open() > 0)
-    return "needs a drain: " + std::to_string(plays_.open()) +
+  if (core_.plays().open() > 0)
+    return "needs a drain: " + std::to_string(core_.plays().open()) +
            " plays are in hand (set /front/take_plays false, "
            "then wait)";
   // A module made anew has no memory of further allocations: their window must have passed.
   double window = std::max(record_.further_span, next.further_span);
-  if (double quiet = clock_.exact() - last_allocation_; quiet < window)
+  if (double quiet = core_.clock().exact() - core_.last_allocation(); quiet < window)
     return "needs a drain: the window of further allocations ends in " + std::to_string(window - quiet) +
            " s";
   return std::nullopt;
@@ -71,9 +72,9 @@
   }
   take_limits();
   if (!drained) {
-    decide([&] { front_->given_changed(record_.given); });
+    core_.change(core_terms(record_));
   } else {
-    make_module();
+    core_.renew(core_terms(record_));
   }
   log_.info("changed", {{"drained", drained}, {"players", players_->local().port()}});
   if (on_changed) on_changed();
@@ -88,38 +89,23 @@
   log_.set_level(telemetry::level_of(record_.log_level));
 }
 
-// The module, at the start and where the shape of what it knows has changed and nothing is in hand.
-void Edge::make_module() {
-  timers_ = {};
-  kinds_ = {};
-  for (const std::string &kind : record_.kinds) kinds_.index_of(kind);
-  front_ = make_(record_.given, seed_, clock_.now(), *this);
-  if (std::exchange(has_list_, false)) {
-    double taken = list_at_;
-    on_list(list_);
-    list_at_ = taken;
-  }
-}
-
 site::FrontState Edge::state() {
   site::FrontState out;
   out.boot = identity_.boot;
-  double now = clock_.now();
-  out.uptime = now - opened_;
-  out.service = service_ == Service::starting                        ? "starting"
-                : service_ == Service::serving && record_.take_plays ? "serving"
-                                                                     : "draining";
-  out.list_version = list_version_;
-  if (has_list_) out.list_age = now - list_at_;
+  out.uptime = core_.clock().now() - opened_;
+  out.service = service() == Service::starting                        ? "starting"
+                : service() == Service::serving && record_.take_plays ? "serving"
+                                                                      : "draining";
+  out.list_version = core_.list_version();
+  if (core_.has_list()) out.list_age = core_.list_age();
   for (std::size_t s = 1; s < kPlayStates; ++s)
-    out.plays.emplace_back(name_of(static_cast<PlayState>(s)), plays_.count(static_cast<PlayState>(s)));
-  out.answers = answers_so_far();
-  decide([&] {
-    for (const ListedServer &one : list_.servers) {
-      int server = servers_.find(one.id);
-      out.servers.push_back({one.id, one.standing, server >= 0 ? front_->view_of(server) : ServerView{}});
-    }
-  });
+    out.plays.emplace_back(name_of(static_cast<PlayState>(s)),
+                           core_.plays().count(static_cast<PlayState>(s)));
+  out.answers = core_.answers_so_far();
+  for (const ListedServer &one : core_.list().servers) {
+    int server = core_.server_of(one.id);
+    out.servers.push_back({one.id, one.standing, server >= 0 ? core_.view_of(server) : ServerView{}});
+  }
   return out;
 }
 
--- a/src/edge/channel.h
+++ b/src/edge/channel.h
@@ -2,7 +2,7 @@
 // It decides nothing; what the server says goes to Events as it comes. One executor; no call comes back
 // during a call.
 #pragma once
-#include "decision/policy.h"
+#include "edge/doors.h"
 #include "http/client.h"
 #include "serverwire/protocol.h"
 
@@ -25,12 +25,6 @@
 
 class Channel {
  public:
-  struct SetUpResult {
-    Outcome outcome = Outcome::error;
-    bool started = false; // the first frame is ready and the play plays
-    LoadReport load;
-    double took = 0;
-  };
   struct Events {
     std::function<void(int server, const serverwire::Report &)> report;
     // The server's stream opened: what it holds for this front. Plays set up since `asked` may be missing.
--- a/src/edge/list_source.h
+++ b/src/edge/list_source.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 
 struct ListedServer {
   std::string id, hall, kind;
+  std::optional<std::uint64_t> number; // the same at every front; without one it is made of the id
   http::Endpoint address;
   int cell = 0;
   double weight = 1, started = 0; // started: epoch seconds, 0: long ago
