--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -50,6 +50,8 @@
 }
 
 void Viewers::on_line(Connection from, std::string_view line) {
+  if (log_.writes(telemetry::Level::debug))
+    log_.debug("viewer_line", {{"from", from}, {"line", std::string(line.substr(0, 400))}});
   jsonlines::Fault fault;
   auto message = jsonlines::read(line, fault);
   if (!message) {
@@ -72,7 +74,8 @@
   bad(from, "verb: none that a viewer says");
 }
 
-std::optional<PlayTerms> Viewers::terms_of(const jsonlines::Message &message, std::string &why) const {
+std::optional<PlayTerms> Viewers::terms_of(const jsonlines::Message &message, bool stands,
+                                           std::string &why) const {
   auto bad_term = [&](const char *text) {
     why = text;
     return std::nullopt;
@@ -86,7 +89,9 @@
   terms.product = static_cast<int>(product - boot_.core.products.begin());
   auto left = given::number_of(text("left"));
   if (!left && !text("left").empty()) return bad_term("left: milliseconds are due");
-  if (left && (*left <= 0 || *left > product->time_limit * 1000 + 1)) return bad_term("left: out of range");
+  // One that stands already says how long it may go on.
+  double most = stands ? 1e12 : product->time_limit * 1000 + 1;
+  if (left && (*left <= 0 || *left > most)) return bad_term("left: out of range");
   if (left) terms.time_left = *left / 1000;
   if (!jsonlines::read_hex16(text("key"))) return bad_term("key: 16 hex digits are due");
   std::string_view extras = text("extras");
@@ -107,11 +112,11 @@
 }
 
 void Viewers::start(Connection from, const jsonlines::Message &message) {
+  std::string_view at; // it stands there already
+  if (const std::string *extras = message.find("extras")) at = extra(*extras, "at");
   std::string why;
-  auto terms = terms_of(message, why);
+  auto terms = terms_of(message, !at.empty(), why);
   int held = core_->plays().find(message.tag);
-  std::string_view at;
-  if (const std::string *extras = message.find("extras")) at = extra(*extras, "at");
   if (held >= 0) {
     if (!at.empty()) return; // it names what is held already
     // Sent once more on a new connection after its own broke: the answer goes there. Else it is another's id.
@@ -190,7 +195,8 @@
 
 void Viewers::bad(Connection from, const std::string &why) {
   ++counters_.refused_bad;
-  if (log_.writes(telemetry::Level::debug)) log_.debug("bad_viewer", {{"cause", why}});
+  if (log_.writes(telemetry::Level::debug))
+    log_.debug("bad_viewer", {{"cause", why}, {"held", server_->held(from)}});
   server_->cut_soon(from);
 }
 
@@ -228,6 +234,8 @@
 
 // On the play's own connection, on any good one, or on the next that comes.
 void Viewers::announce(int play, std::string line) {
+  if (log_.writes(telemetry::Level::debug))
+    log_.debug("announce", {{"to", at_door(play).connection}, {"line", line}});
   if (server_->send(at_door(play).connection, line)) return;
   if (auto other = server_->any_vouched(); other && server_->send(*other, line)) return;
   ++counters_.announced_later;
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -62,7 +62,7 @@
   void start(Connection from, const jsonlines::Message &message);
   void finish(Connection from, const jsonlines::Message &message);
   // The terms, or what is wrong with them.
-  std::optional<PlayTerms> terms_of(const jsonlines::Message &message, std::string &why) const;
+  std::optional<PlayTerms> terms_of(const jsonlines::Message &message, bool stands, std::string &why) const;
   void refuse(Connection to, std::uint64_t tag, const std::string &why); // a bad request
   void bad(Connection from, const std::string &why);                     // nothing there to answer
   void settle(int play, std::string line);
