Room for viewers is made among settled connections; ends go only by ones with a play

Ruled out: unanswered lines (grouped by connection, every bad line got a refusal or a close). Also: a break asks for another connection, on which the server repeats its releases.

--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -10,6 +10,7 @@
 constexpr auto kAcceptPause = std::chrono::milliseconds(20); // without a free descriptor or connection
 constexpr auto kLookEvery = std::chrono::milliseconds(100);
 constexpr std::size_t kAcceptsATurn = 32;
+constexpr double kSettled = 0.05; // within so long a request may cross the close of its connection
 
 } // namespace
 
@@ -113,17 +114,17 @@
   read(one);
 }
 
-// Closes the one that is owed least: without an open request, silent before talking, longest unheard first.
+// Closes the one that is owed least: without an open request, never vouched for before vouched, longest
+// unheard first. One that was heard of just now is let be: a request may be on its way on it.
 bool Server::make_room() {
   Connection *least = nullptr;
-  auto better = [](const Connection &a, const Connection &b) {
-    if (a.vouched != b.vouched) return !a.vouched;
-    return a.heard_at < b.heard_at;
-  };
+  double settled = now() - kSettled;
   for (auto &[id, one] : all_) {
-    if (one->held == 0 && (!least || better(*one, *least))) least = one.get();
+    if (one->held > 0 || one->heard_at > settled) continue;
+    if (!least || std::pair(one->vouched, one->heard_at) < std::pair(least->vouched, least->heard_at))
+      least = one.get();
   }
-  if (!least || now() - least->heard_at < 0.05) return false; // a request may be on its way on a new one
+  if (!least) return false;
   ++counters_.room_cut;
   end(*least, "room");
   return true;
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -44,7 +44,7 @@
   bool send(Id id, std::string line); // false: there is no such connection any more
   void hold(Id id, int by); // so many requests are open on it (added): it is not closed to make room
   int held(Id id) const;
-  void vouch(Id id); // it has said something good: it may be told of plays that other connections brought
+  void vouch(Id id); // a play stands by it: it may be told of plays that other connections brought
   bool vouched(Id id) const;
   std::optional<Id> any_vouched() const; // the one that was vouched for last
   void close_when_sent(Id id);           // reads nothing more
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -104,6 +104,8 @@
   double now = core_->clock().now();
   if (end == rtsp::End::refused_up) one.life.refused(now);
   if (end == rtsp::End::not_up) one.life.not_up(now);
+  // What it said on that one may be lost; it says its releases again on the next that opens.
+  one.ask_again = end == rtsp::End::reset || end == rtsp::End::closed || end == rtsp::End::unreadable;
   if (!last || one.entry.standing != Standing::left) return;
   ++counters_.lost_gone;
   lost(server, "gone", 1e18);
@@ -138,6 +140,7 @@
         continue;
       }
       bool gone = one.entry.standing == Standing::left; // its address may be another's
+      if (std::exchange(one.ask_again, false) && !gone) one.peer->ask();
       switch (one.life.judge(now, one.peer->open() > 0)) {
       case Liveness::Verdict::ask:
         if (!gone) one.peer->ask();
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -42,6 +42,7 @@
     edge::ListedServer entry;
     std::unique_ptr<rtsp::Peer> peer;
     Liveness life;
+    bool ask_again = false;
     std::uint64_t serial = 0; // its index may be another's by then
     std::uint64_t sent = 0, started = 0, refused = 0, failed = 0, notes = 0; // since the last report
     explicit Site(const LivenessTerms &terms) : life(terms) {}
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -64,7 +64,6 @@
   if (verb == "FINISH") return finish(from, *message);
   if (verb == "ECHO") {
     ++counters_.tests;
-    server_->vouch(from);
     server_->send(from, jsonlines::write_echoed(message->tag, core_->has_list() && !draining_));
     return say_later();
   }
@@ -147,7 +146,6 @@
     return;
   }
   ++counters_.set_ups;
-  server_->vouch(from);
   edge::PlayRef ref = core_->take(message.tag, title);
   at_door(ref.index) = {from, *message.description, true};
   held_bytes_ += message.description->size();
@@ -213,6 +211,7 @@
 }
 
 void Viewers::answer(int play, const edge::SetUpResult &result) {
+  server_->vouch(at_door(play).connection);
   settle(play, jsonlines::write_answer(tag(play), result.description));
 }
 
