--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -32,6 +32,7 @@
                           {"list_number", boot.known.number()},
                           {"given", boot.core.given}});
     PlatformFront front(io, std::move(boot), log);
+    log.info("serving", {{"port", front.viewers().local().port()}});
     asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
     std::function<void()> wait = [&] {
       signals.async_wait([&](asio::error_code error, int signal) {
