A server that left the list and falls silent is lost by its silence

The log's server lines (belief beside traffic) showed one server standing 2 (left), 49 plays, nothing heard for 10 s, connections still open: its machine had gone without a word. Ruled out: the channel (all seven events taken, repeats skipped) and the server whose address was taken over (its plays ended at once). To blame: watch() does not ask a left server, whose address may be another's, and liveness counted on failed asks alone. Now its silence tells, past the interval of its notes.

--- a/src/platform/liveness.h
+++ b/src/platform/liveness.h
@@ -11,6 +11,8 @@
   double ask_every = 0.5;
   double lost_after = 4; // nothing heard and none came up for so long: its plays are over; the protocol's 8 s
                          // hold this, the wait for a connection, and a loop that is behind
+  double speaks_every = 0;     // a server with plays of ours says something so often (0: not known)
+  double silent_at_most = 6.5; // so that the 8 s hold
   double refused_apart = 0.15; // two refusals so far apart are no accident of one moment
 };
 
@@ -21,8 +23,9 @@
   void heard(double now); // bytes came, or a connection came up
   void refused(double now);
   void not_up(double now); // a connection did not come up in its time
-  // connected: some connection to it is up. An answer `ask` counts as asked.
-  Verdict judge(double now, bool connected);
+  // connected: some connection to it is up. may_ask: its address is still its own; where not, silence alone
+  // tells, past the time in which it would have said something. An answer `ask` counts as asked.
+  Verdict judge(double now, bool connected, bool may_ask = true);
   double quiet_for(double now) const { return now - heard_at_; }
 
  private:
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -27,6 +27,7 @@
     : io_(io), boot_(boot), log_(log), viewers_(viewers), watch_timer_(io) {
   times_.connect = times_.whole = times_.probe = boot_.connect_time;
   times_.idle = boot_.idle_time;
+  liveness_terms_.speaks_every = boot_.note_interval;
   limits_.set_ups = boot_.streams;
   limits_.unsent = boot_.shares.unsent_server;
 }
@@ -141,9 +142,9 @@
       }
       bool gone = one.entry.standing == Standing::left; // its address may be another's
       if (std::exchange(one.ask_again, false) && !gone) one.peer->ask();
-      switch (one.life.judge(now, one.peer->open() > 0)) {
+      switch (one.life.judge(now, one.peer->open() > 0, !gone)) {
       case Liveness::Verdict::ask:
-        if (!gone) one.peer->ask();
+        one.peer->ask();
         break;
       case Liveness::Verdict::lost:
         ++counters_.lost_silent;
