--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -39,7 +39,6 @@
   asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return all_.size(); }
   const Counters &counters() const { return counters_; }
-  void set_limits(const Limits &limits) { limits_ = limits; }
 
   bool send(Id id, std::string line); // false: there is no such connection any more
   void hold(Id id, int by); // so many requests are open on it (added): it is not closed to make room
--- a/src/platform/boot.cpp
+++ b/src/platform/boot.cpp
@@ -101,14 +101,10 @@
   return it == given.end() ? fallback : given::number_of(it->second).value_or(fallback);
 }
 
-std::vector<int> whole_numbers(const Given &given, const char *name, std::size_t due) {
-  std::vector<int> out;
-  for (const std::string &word : words(given, name))
-    out.push_back(static_cast<int>(given::number_of(word).value_or(-1)));
-  if (out.size() != due)
-    throw bad("settings", std::string(name) + " holds " + std::to_string(out.size()) + " values, " +
+void check_length(const Given &given, const char *name, std::size_t due) {
+  if (std::size_t held = words(given, name).size(); held != due)
+    throw bad("settings", std::string(name) + " holds " + std::to_string(held) + " values, " +
                               std::to_string(due) + " are due");
-  return out;
 }
 
 } // namespace
@@ -167,8 +163,8 @@
     out.longest_limit = std::max(out.longest_limit, limit);
   }
   if (out.core.products.empty()) throw bad("settings", "no class is named");
-  out.floors = whole_numbers(given, given::kProductFloors, products);
-  out.tops = whole_numbers(given, given::kProductTops, products);
+  check_length(given, given::kProductFloors, products);
+  check_length(given, given::kProductTops, products);
   out.rungs = static_cast<int>(words(given, given::kRungRates).size());
   if (out.rungs == 0) throw bad("settings", "no rungs are given");
   out.cells = static_cast<int>(value(given, given::kCells));
--- a/src/platform/boot.h
+++ b/src/platform/boot.h
@@ -28,7 +28,6 @@
   feed::List known;
   feed::Places places;
   edge::CoreTerms core;
-  std::vector<int> floors, tops; // of products
   int rungs = 0, cells = 1;
   bool may_advise_return = true;
   double connect_time = 0, idle_time = 0, note_interval = 0, longest_limit = 0; // seconds
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -46,12 +46,6 @@
 
 } // namespace
 
-void PeerCounters::add(const PeerCounters &o) {
-  connects += o.connects, refused += o.refused, not_up += o.not_up, resets += o.resets,
-      unreadable += o.unreadable, set_ups += o.set_ups, answers += o.answers, given_up += o.given_up,
-      late += o.late, strangers += o.strangers, no_room += o.no_room;
-}
-
 struct Peer::Link {
   asio::ip::tcp::socket socket;
   asio::steady_timer timer; // of connecting
@@ -339,10 +333,6 @@
   return oldest != nullptr;
 }
 
-void Peer::close() {
-  while (!links_.empty()) end(links_.front(), End::closed);
-}
-
 // No new set-ups on it; it goes once those on it have ended, a moment later.
 void Peer::retire(const std::shared_ptr<Link> &link) {
   link->retired = true;
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -43,7 +43,6 @@
 struct PeerCounters {
   std::uint64_t connects = 0, refused = 0, not_up = 0, resets = 0, unreadable = 0, set_ups = 0, answers = 0,
                 given_up = 0, late = 0, strangers = 0, no_room = 0;
-  void add(const PeerCounters &o);
 };
 
 class Peer {
@@ -76,7 +75,6 @@
   void touch();     // makes sure that a connection is up or coming up
   void ask();       // opens one more connection: does the machine still answer?
   bool drop_idle(); // closes the connection without set-ups that was longest of no use; false: there is none
-  void close();     // all; set-ups that are out end as closed
 
  private:
   struct Link;
