A server that is forgotten is not heard of any more; a break keeps its asking again

A peer is now shut first: no event comes of it whatever is still under way, shown by a case that fails nowhere else. To blame: forget_server, and down(), which also let a later failed connection undo the asking that a break had called for. Peer::touch, which nothing called, is gone.

--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -96,7 +96,8 @@
 
 void Servers::forget_server(int server) {
   if (!site(server)) return;
-  // It may be the one whose event is being told: it goes after this turn.
+  // It may be the one whose event is being told: it goes after this turn, and is not heard until then.
+  if (auto &peer = site(server)->peer) peer->shut();
   asio::post(io_, [gone = std::shared_ptr<Site>(std::move(sites_[static_cast<std::size_t>(server)]))] {});
 }
 
@@ -107,7 +108,8 @@
   if (end == rtsp::End::refused_up) one.life.refused(now);
   if (end == rtsp::End::not_up) one.life.not_up(now);
   // What it said on that one may be lost; it says its releases again on the next that opens.
-  one.ask_again = end == rtsp::End::reset || end == rtsp::End::closed || end == rtsp::End::unreadable;
+  one.ask_again =
+      one.ask_again || end == rtsp::End::reset || end == rtsp::End::closed || end == rtsp::End::unreadable;
   if (!last || one.entry.standing != Standing::left) return;
   ++counters_.lost_gone;
   lost(server, "gone", 1e18);
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -57,7 +57,9 @@
   look();
 }
 
-Peer::~Peer() {
+Peer::~Peer() { shut(); }
+
+void Peer::shut() {
   alive_.reset();
   for (auto &link : links_) {
     become(*link, State::closed);
@@ -65,6 +67,8 @@
     link->socket.close(ignored);
     link->timer.cancel();
   }
+  links_.clear();
+  out_.clear();
 }
 
 double Peer::now() const {
@@ -304,10 +308,6 @@
   say(link, probe_, rtsp::write(request("OPTIONS", "rtsp://media/load", "3", probe_)));
 }
 
-void Peer::touch() {
-  if (std::ranges::none_of(links_, [](const auto &link) { return !link->retired; })) connect();
-}
-
 void Peer::ask() {
   if (std::ranges::none_of(links_, [](const auto &link) { return link->state == State::connecting; }))
     connect();
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -72,9 +72,9 @@
   void release(std::uint64_t session, int cause);
   void step(std::uint64_t session, int rung);
   void probe();
-  void touch();     // makes sure that a connection is up or coming up
   void ask();       // opens one more connection: does the machine still answer?
   bool drop_idle(); // closes the connection without set-ups that was longest of no use; false: there is none
+  void shut();      // closes all; no event comes any more, whatever is still under way
 
  private:
   struct Link;
--- a/tests/rtsp/test_rtsp.cpp
+++ b/tests/rtsp/test_rtsp.cpp
@@ -1,3 +1,4 @@
+#include "http/loop.h"
 #include "platform/ends.h"
 #include "rtsp/message.h"
 
@@ -132,3 +133,34 @@
           row.outcome);
   }
 }
+
+TEST_CASE("a peer that is shut says nothing more, whatever its server and its timers still do") {
+  asio::io_context io;
+  testing::RawServer server(io);
+  rtsp::Times times;
+  times.idle = 0.2; // its own look would close the connection, and tell of it
+  rtsp::Limits limits;
+  rtsp::PeerCounters counters;
+  int events = 0;
+  rtsp::Peer::Events told;
+  told.set_up_ended = [&](std::uint64_t, rtsp::End, const rtsp::Message *, double) { ++events; };
+  told.request = [&](std::uint64_t, const rtsp::Message &) { ++events; };
+  told.probed = [&](rtsp::End, const rtsp::Message *) { ++events; };
+  told.heard = told.up = [&] { ++events; };
+  told.down = [&](rtsp::End, bool) { ++events; };
+  told.may_open = [] { return true; };
+  told.stands = [](std::uint64_t) { return false; };
+  rtsp::Peer peer(io, server.acceptor.local_endpoint(), times, limits, counters, 7, std::move(told));
+  rtsp::SetUp set_up;
+  set_up.session = 0x9b1f03aa5c7e2d41, set_up.title = "7f3a9c21e0b4d655", set_up.tier = "clip",
+  set_up.time_out = 0.1;
+  peer.set_up(set_up);
+  peer.probe();
+  REQUIRE(testing::run_until(io, [&] { return !server.links.empty() && !server.links[0]->heard.empty(); }));
+  testing::RawServer::say(*server.links[0], answer("v=0\r\n"));
+  int before = events;
+  CHECK(before > 0); // it came up
+  peer.shut();
+  testing::run_for(io, 0.5);
+  CHECK(events == before);
+}
