One loop with signals, one back-off; losses are counted where plays were lost

The platform's program had copied the loop, the signals and the doubling pause of the HTTP front: edge/serve and edge/backoff serve both now. A server that left without a play of ours no longer counts as lost; an accessor that nothing called is gone. Behaviour is as before but for a second SIGTERM, which no longer starts the planned end anew.

--- a/cmake/front.cmake
+++ b/cmake/front.cmake
@@ -36,7 +36,7 @@
 target_link_libraries(snowshore_site PUBLIC snowshore_decision snowshore_records snowshore_http)
 
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
-            src/edge/plays.cpp src/edge/core.cpp src/edge/edge.cpp src/edge/change.cpp)
+            src/edge/plays.cpp src/edge/core.cpp src/edge/edge.cpp src/edge/change.cpp src/edge/serve.cpp)
 target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
 
 add_library(snowshore_jsonlines STATIC src/jsonlines/message.cpp src/jsonlines/server.cpp)
--- a/src/edge/channel.cpp
+++ b/src/edge/channel.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace snowshore::edge {
 
@@ -21,8 +20,8 @@
                  const Identity &identity, const ReportTimes &times, std::uint64_t seed,
                  std::function<double()> now, const Events &events)
     : io_(io), client_(client), server_(server), address_(std::move(address)), identity_(identity),
-      times_(times), chance_(static_cast<std::uint32_t>(seed % 2147483646 + 1)), now_(std::move(now)),
-      events_(events), reopen_timer_(io), watch_timer_(io) {}
+      times_(times), pauses_(kFirstPause, kLongestPause, seed), now_(std::move(now)), events_(events),
+      reopen_timer_(io), watch_timer_(io) {}
 
 Channel::~Channel() {
   stop_following();
@@ -132,7 +131,7 @@
 void Channel::follow() {
   if (stream_ != Stream::closed) return;
   last_heard_ = now_();
-  failures_ = 0;
+  pauses_.reset();
   told_lost_ = false;
   watched_at_ = now_();
   open_stream();
@@ -176,7 +175,7 @@
   told_lost_ = false;
   if (report->kind == serverwire::Report::Kind::hello) {
     become(Stream::open);
-    failures_ = 0;
+    pauses_.reset();
     bool restarted = started_ > 0 && report->started != started_;
     started_ = report->started;
     return events_.hello(server_, *report, asked_at_, restarted);
@@ -188,8 +187,8 @@
   stream_id_ = 0;
   if (stream_ == Stream::closed) return;
   // Refused on the very address where it served: its process is gone, and its plays with it.
-  bool gone =
-      ending == http::Ending::unreachable && now_() - last_heard_ < times_.lost_after && failures_ > 0;
+  bool gone = ending == http::Ending::unreachable && now_() - last_heard_ < times_.lost_after &&
+              pauses_.failures() > 0;
   reopen_later();
   if (gone && !told_lost_) {
     told_lost_ = true;
@@ -199,9 +198,7 @@
 
 void Channel::reopen_later() {
   become(Stream::waiting);
-  double pause = std::min(kLongestPause, kFirstPause * std::exp2(failures_++));
-  pause *= 0.5 + 0.5 * static_cast<double>(chance_() - 1) / 2147483646.0; // fronts do not come back in step
-  reopen_timer_.expires_after(span(pause));
+  reopen_timer_.expires_after(span(pauses_.next()));
   reopen_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (!error && !alive.expired() && stream_ == Stream::waiting) open_stream();
   });
--- a/src/edge/channel.h
+++ b/src/edge/channel.h
@@ -2,6 +2,7 @@
 // It decides nothing; what the server says goes to Events as it comes. One executor; no call comes back
 // during a call.
 #pragma once
+#include "edge/backoff.h"
 #include "edge/doors.h"
 #include "http/client.h"
 #include "serverwire/protocol.h"
@@ -9,7 +10,6 @@
 #include <asio.hpp>
 
 #include <memory>
-#include <random>
 #include <string>
 #include <unordered_set>
 
@@ -65,7 +65,7 @@
   http::Endpoint address_;
   const Identity &identity_;
   const ReportTimes &times_;
-  std::minstd_rand chance_;
+  Backoff pauses_; // between attempts to open a report stream
   std::function<double()> now_;
   const Events &events_;
   asio::steady_timer reopen_timer_, watch_timer_;
@@ -74,7 +74,6 @@
   serverwire::LineSplitter lines_;
   double asked_at_ = 0, last_heard_ = 0, watched_at_ = 0, started_ = 0;
   bool told_lost_ = false;
-  int failures_ = 0;
   std::uint64_t step_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/feed/client.cpp
+++ b/src/feed/client.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace snowshore::feed {
 
@@ -24,8 +23,8 @@
 Client::Client(asio::io_context &io, asio::ip::tcp::endpoint at, Places places, List known,
                std::uint64_t seed, telemetry::Log &log)
     : io_(io), at_(std::move(at)), places_(std::move(places)), list_(std::move(known)), log_(log),
-      chance_(static_cast<std::uint32_t>(seed % 2147483646 + 1)), reader_(places_), socket_(io),
-      pause_timer_(io), watch_timer_(io) {}
+      pauses_(kFirstPause, kLongestPause, seed), reader_(places_), socket_(io), pause_timer_(io),
+      watch_timer_(io) {}
 
 Client::~Client() { become(State::closed); }
 
@@ -53,7 +52,7 @@
 void Client::move_to(const asio::ip::tcp::endpoint &at) {
   if (at == at_) return;
   at_ = at;
-  failures_ = 0;
+  pauses_.reset();
   if (state_ != State::idle) connect();
 }
 
@@ -98,7 +97,7 @@
     bool readable =
         reader_.take(std::string_view(buffer_.data(), size), [&](const Event &event) { apply(event); });
     if (std::exchange(changed_, false)) {
-      failures_ = 0;
+      pauses_.reset();
       events_.list(list_.publish());
       if (alive.expired() || turn != turn_) return;
     }
@@ -108,7 +107,7 @@
       return broken("unreadable");
     }
     if (gap_) return broken("gap");
-    failures_ = 0;
+    pauses_.reset();
     read();
   });
 }
@@ -146,9 +145,7 @@
   asio::error_code ignored;
   socket_.close(ignored);
   become(State::pausing);
-  double wait = std::min(kLongestPause, kFirstPause * std::exp2(std::min(failures_++, 8)));
-  wait *= 0.5 + 0.5 * static_cast<double>(chance_() - 1) / 2147483646.0; // fronts do not come back in step
-  pause_timer_.expires_after(span(wait));
+  pause_timer_.expires_after(span(pauses_.next()));
   pause_timer_.async_wait([this, turn = turn_, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (!error && !alive.expired() && turn == turn_) connect();
   });
--- a/src/feed/client.h
+++ b/src/feed/client.h
@@ -1,13 +1,13 @@
 // The list source that follows the command channel: connects, says the number of the last event it has, takes
 // what comes, and asks again after a break, a silence or a refusal. Each event is applied once.
 #pragma once
+#include "edge/backoff.h"
 #include "feed/frames.h"
 #include "telemetry/log.h"
 
 #include <asio.hpp>
 
 #include <memory>
-#include <random>
 
 namespace snowshore::feed {
 
@@ -42,7 +42,7 @@
   Places places_;
   List list_;
   telemetry::Log &log_;
-  std::minstd_rand chance_;
+  edge::Backoff pauses_;
   Counters counters_;
   Events events_;
   FrameReader reader_;
@@ -53,7 +53,6 @@
   State state_ = State::idle;
   std::uint64_t turn_ = 0; // of the socket: what an older one still brings is passed over
   double heard_at_ = 0, connecting_at_ = 0;
-  int failures_ = 0;
   bool changed_ = false, gap_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -18,7 +18,6 @@
   edge::Core &core() { return core_; }
   Viewers &viewers() { return viewers_; }
   Servers &servers() { return servers_; }
-  feed::Client &channel() { return *channel_; }
 
   // The file as it is now, in place of the last; why it can't be taken (then nothing has changed).
   std::optional<std::string> change(Boot next);
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -1,7 +1,7 @@
 #include "platform/run.h"
+#include "edge/serve.h"
 #include "platform/front.h"
 
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr int kTurnLimit = 256; // handlers of one turn, all under one clock reading
-
 std::string variable(const char *name) {
   const char *value = std::getenv(name);
   return value ? value : "";
@@ -33,37 +31,12 @@
                           {"given", boot.core.given}});
     PlatformFront front(io, std::move(boot), log);
     log.info("serving", {{"port", front.viewers().local().port()}});
-    asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    std::function<void()> wait = [&] {
-      signals.async_wait([&](asio::error_code error, int signal) {
-        if (error) return;
-        if (signal == SIGHUP) {
-          try {
-            auto why = front.change(load_boot(file));
-            if (why)
-              log.error("reload_refused", {{"cause", *why}});
-            else
-              log.info("reloaded");
-          } catch (const std::exception &bad) {
-            log.error("reload_refused", {{"cause", bad.what()}});
-          }
-        } else {
-          log.info("draining", {{"signal", signal}});
-          front.drain([&] {
-            log.info("drained");
-            io.stop();
-          });
-        }
-        wait();
-      });
+    auto read_again = [&] {
+      if (auto why = front.change(load_boot(file))) throw BootError(*why);
+      log.info("reloaded");
     };
-    wait();
-    while (!io.stopped()) {
-      front.core().clock().turn();
-      if (io.run_one() == 0) break;
-      for (int i = 0; i < kTurnLimit && io.poll_one() > 0; ++i) {
-      }
-    }
+    edge::serve(io, front.core().clock(), log,
+                {read_again, [&](std::function<void()> done) { front.drain(std::move(done)); }});
     return 0;
   } catch (const std::exception &error) {
     std::cerr << "snowshore: " << error.what() << "\n";
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -65,8 +65,10 @@
   asio::post(io_, [this, server, serial = one.serial, restarted, before = entry.started,
                    alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired() || !site(server) || site(server)->serial != serial) return;
-    ++(restarted ? counters_.lost_restarted : counters_.lost_gone);
-    lost(server, restarted ? "restarted" : "gone", restarted ? before : 1e18);
+    if (restarted)
+      lost(server, "restarted", counters_.lost_restarted, before);
+    else
+      lost(server, "gone", counters_.lost_gone);
   });
 }
 
@@ -111,8 +113,7 @@
   one.ask_again =
       one.ask_again || end == rtsp::End::reset || end == rtsp::End::closed || end == rtsp::End::unreadable;
   if (!last || one.entry.standing != Standing::left) return;
-  ++counters_.lost_gone;
-  lost(server, "gone", 1e18);
+  lost(server, "gone", counters_.lost_gone);
 }
 
 // All connections to servers are in use: one goes that carries no set-up, of a server without plays of ours
@@ -137,13 +138,15 @@
   return plays;
 }
 
-void Servers::lost(int server, const char *why, double before) {
+void Servers::lost(int server, const char *why, std::uint64_t &counter, double before) {
   bool any = false;
   core_->plays().each([&](int play) {
     const HeldPlay &held = core_->plays().at(play);
     any = any || (held.state == PlayState::playing && held.server == server && held.started_at < before);
   });
-  if (any) core_->server_lost(server, why, before);
+  if (!any) return;
+  ++counter;
+  core_->server_lost(server, why, before);
 }
 
 // Servers that hold plays of ours keep a connection, on which they say what concerns them; one that says
@@ -161,7 +164,7 @@
       if (stood_still) sites_[s]->life.heard(now);
       Site &one = *sites_[s];
       if (!one.peer) {
-        lost(static_cast<int>(s), "gone", 1e18);
+        lost(static_cast<int>(s), "gone", counters_.lost_gone);
         continue;
       }
       bool gone = one.entry.standing == Standing::left; // its address may be another's
@@ -171,8 +174,7 @@
         one.peer->ask();
         break;
       case Liveness::Verdict::lost:
-        ++counters_.lost_silent;
-        lost(static_cast<int>(s), "silent", 1e18);
+        lost(static_cast<int>(s), "silent", counters_.lost_silent);
         break;
       case Liveness::Verdict::well:
         break;
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -56,7 +56,8 @@
                     double took);
   void request(int server, std::uint64_t session, const rtsp::Message &message);
   void down(int server, rtsp::End end, bool last);
-  void lost(int server, const char *why, double before);
+  // Plays that stood there before that moment are over; counted where there are any.
+  void lost(int server, const char *why, std::uint64_t &counter, double before = 1e18);
   LoadReport load_of(const rtsp::Message &message);
   void watch();
   bool make_room();
--- a/src/program/run.cpp
+++ b/src/program/run.cpp
@@ -1,7 +1,7 @@
 #include "program/run.h"
+#include "edge/serve.h"
 #include "program/beside.h"
 
-#include <csignal>
 #include <iostream>
 
 namespace snowshore::program {
@@ -11,8 +11,6 @@
 using edge::Edge;
 using site::FrontRecord;
 
-constexpr int kTurnLimit = 256; // handlers of one turn, all under one clock reading
-
 // For whoever waits for the ports.
 void write_ports(const std::string &file, const Edge &edge, int management) {
   if (file.empty()) return;
@@ -51,33 +49,8 @@
       if (beside) return beside->take_files(site::load_front(files));
       log.info("reloaded", {{"needs_restart", edge.reload(site::load_front(files))}});
     };
-    asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
-    std::function<void()> wait = [&] {
-      signals.async_wait([&](asio::error_code error, int signal) {
-        if (error) return;
-        if (signal != SIGHUP) {
-          log.info("draining", {{"signal", signal}});
-          edge.drain([&] {
-            log.info("drained");
-            io.stop();
-          });
-          return;
-        }
-        try {
-          read_again();
-        } catch (const std::exception &bad) {
-          log.error("reload_refused", {{"cause", bad.what()}});
-        }
-        wait();
-      });
-    };
-    wait();
-    while (!io.stopped()) {
-      edge.clock().turn();
-      if (io.run_one() == 0) break;
-      for (int i = 0; i < kTurnLimit && io.poll_one() > 0; ++i) {
-      }
-    }
+    edge::serve(io, edge.clock(), log,
+                {read_again, [&](std::function<void()> done) { edge.drain(std::move(done)); }});
     return 0;
   } catch (const records::RecordError &error) {
     std::cerr << error.what() << "\n";
