--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -15,7 +15,9 @@
                tests/jsonlines/test_jsonlines.cpp tests/feed/test_feed.cpp tests/platform/test_platform.cpp)
 target_include_directories(snowshore_platform_tests PRIVATE tests)
 target_link_libraries(snowshore_platform_tests PRIVATE snowshore_platform Catch2::Catch2)
-add_test(NAME snowshore_platform_tests COMMAND snowshore_platform_tests)
+add_test(NAME snowshore_platform_tests COMMAND snowshore_platform_tests ~[slow])
+add_test(NAME snowshore_platform_slow_tests COMMAND snowshore_platform_tests [slow])
+set_tests_properties(snowshore_platform_slow_tests PROPERTIES LABELS slow)
 
 add_executable(snowshore_management_tests tests/test_main.cpp tests/management/test_manager.cpp
                tests/management/test_follower.cpp tests/management/test_service.cpp)
--- a/src/platform/boot.cpp
+++ b/src/platform/boot.cpp
@@ -168,6 +168,7 @@
   out.core.load_in_answers = false; // loads come as notes of their own
   out.may_advise_return =
       given.contains(given::kMayAdviseReturn) && given.at(given::kMayAdviseReturn) != "false";
+  out.longest_retry_after = value_or(given, given::kLongestRetryAfter, 0);
   out.connect_time = value_or(given, "limits.connect_timeout", 0.25);
   out.idle_time = value_or(given, "limits.idle_close", 30);
   out.streams = static_cast<std::size_t>(std::clamp(value_or(given, "limits.multiplex", 32), 1.0, 1e6));
--- a/src/platform/boot.h
+++ b/src/platform/boot.h
@@ -30,6 +30,7 @@
   edge::CoreTerms core;
   int rungs = 0, cells = 1;
   bool may_advise_return = true;
+  double longest_retry_after = 0; // seconds that viewers keep away at most
   double connect_time = 0, idle_time = 0, note_interval = 0, longest_limit = 0; // seconds
   std::size_t streams = 1; // set-ups open on one connection to a server
   Shares shares;
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -146,9 +146,7 @@
   }
   if (shut_ || !core_->has_list() || held_bytes_ + message.description->size() > boot_.shares.held_bytes) {
     ++counters_.no_room;
-    server_->send(from, jsonlines::write_finish(message.tag, kCauseDeclined,
-                                                boot_.may_advise_return ? std::optional<std::uint64_t>(200)
-                                                                        : std::nullopt));
+    server_->send(from, declined(message.tag, boot_.longest_retry_after));
     return;
   }
   ++counters_.set_ups;
@@ -233,13 +231,15 @@
   settle(play, jsonlines::write_answer(tag(play), result.description));
 }
 
-void Viewers::decline(int play, double retry_after) {
+std::string Viewers::declined(std::uint64_t tag, double retry_after) const {
   std::optional<std::uint64_t> wait;
   if (boot_.may_advise_return && retry_after > 0)
     wait = static_cast<std::uint64_t>(std::ceil(retry_after * 1000));
-  settle(play, jsonlines::write_finish(tag(play), kCauseDeclined, wait));
+  return jsonlines::write_finish(tag, kCauseDeclined, wait);
 }
 
+void Viewers::decline(int play, double retry_after) { settle(play, declined(tag(play), retry_after)); }
+
 void Viewers::fail(int play) { settle(play, jsonlines::write_finish(tag(play), kCauseFailed)); }
 
 void Viewers::move(int play) { announce(play, jsonlines::write_move(tag(play))); }
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -72,6 +72,7 @@
   std::optional<PlayTerms> terms_of(const jsonlines::Message &message, bool stands, std::string &why) const;
   void refuse(Connection to, std::uint64_t tag, const std::string &why); // a bad request
   void bad(Connection from, const std::string &why);                     // nothing there to answer
+  std::string declined(std::uint64_t tag, double retry_after) const;
   void settle(int play, std::string line);
   void announce(int play, std::string line);
   void announce(Connection to, std::uint64_t tag, std::string line);
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+
 using namespace snowshore;
 using namespace snowshore::testing;
 
@@ -244,6 +246,10 @@
   CHECK(scene.until([&] { return late.heard.find("\"rc\":0") != std::string::npos; }, 0.5));
   CHECK_FALSE(done);
   CHECK(scene.until([&] { return done; }, 1.5));
+  std::string too_late = scene.next_tag();
+  viewer.say(PlatformScene::start(too_late)); // declined at once, to come back as late as the settings allow
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", too_late); }, 0.5));
+  CHECK(viewer.heard.find("\"wait\":\"500\"},\"rc\":34") != std::string::npos);
 }
 
 TEST_CASE("a configuration that can't be used names the path; one of another shape is not taken in service") {
@@ -353,3 +359,42 @@
   CHECK(scene.until([&] { return PlatformScene::said(other, "FINISH", tag); }, 1));
   CHECK(scene.front->viewers().counters().announced_again == 1);
 }
+
+// A hundred thousand plays, each with an id of its own, a new connection for every hundred: all are answered,
+// and what the front holds does not grow.
+TEST_CASE("100,000 plays with new ids and connections leave nothing behind", "[slow]") {
+  PlatformScene scene(2);
+  auto resident_kb = [] {
+    std::ifstream in("/proc/self/statm");
+    std::size_t all = 0, resident = 0;
+    in >> all >> resident;
+    return resident * 4;
+  };
+  std::size_t before = 0, answered = 0;
+  for (int round = 0; round < 1000; ++round) {
+    if (round == 500) before = resident_kb();
+    RawPeer peer(scene.io, scene.front->viewers().local());
+    std::string all;
+    std::vector<std::string> tags;
+    for (int i = 0; i < 100; ++i) {
+      tags.push_back(scene.next_tag());
+      all += PlatformScene::start(tags.back());
+    }
+    peer.say(all);
+    auto out = [&] { return peer.count("\"verb\":\"STARTED\"") + peer.count("\"verb\":\"FINISH\""); };
+    REQUIRE(scene.until([&] { return out() >= 100; }, 5));
+    answered += out();
+    all.clear();
+    for (const std::string &tag : tags) all += PlatformScene::finish(tag);
+    peer.say(all);
+    REQUIRE(scene.until([&] { return scene.open() == 0; }, 5));
+    for (auto &server : scene.servers) server->asked.clear(), server->torn.clear();
+    peer.socket.close();
+    scene.until([&] { return peer.closed; }, 1);
+  }
+  CHECK(answered == 100000);
+  CHECK(scene.front->core().plays().places() <= 200);
+  std::size_t grown = resident_kb() - std::min(before, resident_kb());
+  CAPTURE(before, grown);
+  CHECK(grown < 2048); // over the second half; a play left behind takes some 600 bytes, 30 MB of them
+}
