--- a/tests/feed/test_feed.cpp
+++ b/tests/feed/test_feed.cpp
@@ -1,4 +1,5 @@
 #include "feed/client.h"
+#include "feed/written_frames.h"
 #include "http/loop.h"
 
 #include <catch2/catch.hpp>
@@ -9,20 +10,8 @@
 
 namespace {
 
-std::string big(std::uint64_t value, int size) {
-  std::string out;
-  for (int i = size - 1; i >= 0; --i) out += static_cast<char>(value >> 8 * i & 255);
-  return out;
-}
-
-std::string record(std::uint32_t id, int state = 0, int hall = 0, int kind = 0) {
-  return big(id, 4) + big(0x7f000001, 4) + big(2905, 2) + big(static_cast<unsigned>(state), 1) +
-         big(static_cast<unsigned>(hall), 1) + big(static_cast<unsigned>(kind), 1) + big(2, 2) +
-         big(1500, 4) + big(0, 8);
-}
-
-std::string frame(std::uint64_t number, int kind, const std::string &payload = "") {
-  return big(9 + payload.size(), 4) + big(number, 8) + big(static_cast<unsigned>(kind), 1) + payload;
+std::string record(std::uint32_t id, unsigned state = 0, unsigned hall = 0, unsigned kind = 0) {
+  return testing::record({id, 2905, state, hall, kind, 2, 0});
 }
 
 const feed::Places kPlaces{{"hall-a", "hall-b"}, {"two-core"}};
--- a/tests/platform/scene.h
+++ b/tests/platform/scene.h
@@ -1,6 +1,7 @@
 // A front on the platform in this process, between raw viewers, scripted servers and a channel, on real
 // sockets.
 #pragma once
+#include "feed/written_frames.h"
 #include "http/loop.h"
 #include "platform/front.h"
 
@@ -122,6 +123,11 @@
     front = std::make_unique<platform::PlatformFront>(io, platform::read_boot(config.dump()), log);
     run(0.25); // past the warm-up
   }
+  static WrittenServer written(std::uint32_t id, const StandIn &at, unsigned state,
+                               std::uint64_t started = 0) {
+    return {id, at.server.acceptor.local_endpoint().port(), state, 0, 0, 0, started};
+  }
+  void tell(const std::string &frame) { RawServer::say(*channel.links[0], frame); }
   bool until(const std::function<bool()> &holds, double seconds = 4) {
     auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
     while (!holds() && std::chrono::steady_clock::now() < end) {
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -62,6 +62,51 @@
   }
 }
 
+TEST_CASE(
+    "a server that refuses connections, and an idle connection that is reset: set up elsewhere, one answer") {
+  PlatformScene scene(2);
+  RawPeer &viewer = scene.viewer();
+  auto [server, first] = scene.standing(viewer);
+  viewer.say(PlatformScene::finish(first));
+  REQUIRE(scene.until([&] { return scene.open() == 0; }, 1));
+  for (auto &one : scene.servers)
+    for (auto &link : one->server.links) {
+      link->socket.set_option(asio::socket_base::linger(true, 0)); // a reset
+      link->socket.close();
+    }
+  CHECK_NOTHROW(scene.standing(viewer));
+  PlatformScene other(2);
+  other.servers[0]->server.acceptor.close(); // nothing listens there
+  RawPeer &next = other.viewer();
+  for (int i = 0; i < 4; ++i) {
+    std::string tag = other.next_tag();
+    next.say(PlatformScene::start(tag));
+    REQUIRE(other.until([&] { return PlatformScene::said(next, "STARTED", tag); }, 2));
+  }
+  CHECK(other.servers[0]->asked.empty());
+  CHECK(other.servers[1]->asked.size() == 4);
+}
+
+TEST_CASE("a new server at the address of one that has gone has connections of its own") {
+  PlatformScene scene(1);
+  RawPeer &viewer = scene.viewer();
+  auto [server, tag] = scene.standing(viewer);
+  std::size_t links = server->server.links.size();
+  REQUIRE(scene.until([&] { return scene.channel.links.size() == 1; }));
+  scene.tell(frame(2, 2,
+                   record(scene.written(1, *server, 2)) +
+                       record(scene.written(2, *server, 0)))); // the first left, the second is new
+  std::string second = scene.next_tag();
+  scene.run(0.25);
+  viewer.say(PlatformScene::start(second));
+  REQUIRE(scene.until([&] { return PlatformScene::said(viewer, "STARTED", second); }, 2));
+  CHECK(server->server.links.size() > links);
+  CHECK(server->asked.back().link != server->asked.front().link);
+  RawServer::say(*server->asked.front().link, StandIn::request(tag, "TEARDOWN", {{"Reason", "cause=16"}}));
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", tag); }, 1));
+  CHECK(scene.open() == 1);
+}
+
 TEST_CASE("a viewer that gives up, or whose connection ends, is owed nothing and its set-up is withdrawn") {
   for (bool by_close : {false, true}) {
     CAPTURE(by_close);
@@ -183,16 +228,7 @@
       REQUIRE(scene.until([&] { return scene.channel.links.size() == 1; }));
       std::uint64_t started =
           how == "restarted" ? static_cast<std::uint64_t>(scene.front->core().clock().exact() * 1000) : 0;
-      auto put = [](std::uint64_t value, int size) {
-        std::string out;
-        for (int i = size - 1; i >= 0; --i) out += static_cast<char>(value >> 8 * i & 255);
-        return out;
-      };
-      unsigned port = server->server.acceptor.local_endpoint().port();
-      std::string record = put(1, 4) + put(0x7f000001, 4) + put(port, 2) +
-                           put(how.starts_with("left") ? 2 : 0, 1) + put(0, 1) + put(0, 1) + put(0, 2) +
-                           put(1000, 4) + put(started, 8);
-      RawServer::say(*scene.channel.links[0], put(9 + record.size(), 4) + put(2, 8) + put(2, 1) + record);
+      scene.tell(frame(2, 2, record(scene.written(1, *server, how.starts_with("left") ? 2 : 0, started))));
     }
     CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", tag); }, 6));
     CHECK(scene.open() == 0);
@@ -323,8 +359,7 @@
   RawPeer &viewer = scene.viewer();
   auto [server, tag] = scene.standing(viewer);
   REQUIRE(scene.until([&] { return scene.channel.links.size() == 1; }));
-  RawServer::say(*scene.channel.links[0],
-                 std::string("\0\0\0\x09\0\0\0\0\0\0\0\x02\x01", 13)); // a list of none
+  scene.tell(frame(2, 1)); // a list of none
   for (auto &link : server->server.links) link->socket.close();
   CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", tag); }, 2));
 }
