--- a/src/cli/snowshore.cpp
+++ b/src/cli/snowshore.cpp
@@ -1,5 +1,6 @@
 // snowshore: the operators' program.
 #include "cli/manage.h"
+#include "platform/run.h"
 #include "program/run.h"
 
 #include <CLI/CLI.hpp>
@@ -23,9 +24,15 @@
   bool show = false;
 
   auto *edge = app.add_subcommand("edge", "Serve players: the front end");
-  edge->add_option("--records", files, "Record files; several are unified")->required()->expected(1, -1);
+  bool on_platform = false;
+  std::string log_level = "info";
+  auto *records = edge->add_option("--records", files, "Record files; several are unified")->expected(1, -1);
+  auto *platform =
+      edge->add_flag("--platform", on_platform, "Serve the platform's viewers; told by NODE_CONFIG");
+  edge->add_option("--log", log_level, "With --platform: debug, info, warning or error")->needs(platform);
+  records->excludes(platform);
   edge->footer("SIGHUP reads the records again, SIGTERM answers what is in hand and exits 0.\n"
-               "Example:\n  snowshore edge --records front.cue site.cue");
+               "Examples:\n  snowshore edge --records front.cue site.cue\n  snowshore edge --platform");
   auto *check = app.add_subcommand("check", "Check a front's records and say every fault");
   check->add_option("files", files, "Record files; several are unified")->required()->expected(1, -1);
   check->add_flag("--show", show, "Print the result in full, defaults settled");
@@ -43,6 +50,11 @@
     std::cout << "snowshore " << SNOWSHORE_VERSION << "\n";
     return 0;
   }
+  if (*edge && on_platform) return platform::run_platform(log_level);
+  if (*edge && files.empty()) {
+    std::cerr << "snowshore: edge needs --records or --platform\n";
+    return 2;
+  }
   if (*edge) return program::run_edge(files, SNOWSHORE_VERSION);
   if (int code = cli::run_manage(app); code >= 0) return code;
   try {
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -311,12 +311,12 @@
   decide([&] { front_->allocation_ended(index, allocation, outcome, true, report); });
 }
 
-void Core::server_lost(int server, const char *why) {
+void Core::server_lost(int server, const char *why, double before) {
   counters_->lost_servers.Increment();
   log_.warning("server_lost", {{"server", servers_.id(server)}, {"cause", why}});
   plays_.each([&](int index) {
     HeldPlay &play = plays_.at(index);
-    if (play.state != PlayState::playing || play.server != server) return;
+    if (play.state != PlayState::playing || play.server != server || play.started_at >= before) return;
     count_ended("server_lost");
     play_over(index, Outcome::reset);
   });
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -89,7 +89,8 @@
   void play_over(int play, Outcome outcome,
                  const LoadReport &report = {}); // a play that stood has come to its end
   void probe_answered(int server, Outcome outcome, const LoadReport &report);
-  void server_lost(int server, const char *why); // all plays that stood there are over
+  // All plays that stood there before that moment are over.
+  void server_lost(int server, const char *why, double before = 1e18);
 
   // ---- Values changed in service.
   void change(CoreTerms terms); // the module is told; plays in hand keep their terms
--- /dev/null
+++ b/src/jsonlines/server.cpp
@@ -0,0 +1,285 @@
+#include "jsonlines/server.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace snowshore::jsonlines {
+
+namespace {
+
+constexpr auto kAcceptPause = std::chrono::milliseconds(20); // without a free descriptor or connection
+constexpr auto kLookEvery = std::chrono::milliseconds(100);
+constexpr std::size_t kAcceptsATurn = 32;
+
+} // namespace
+
+struct Server::Connection {
+  Id id = 0;
+  asio::ip::tcp::socket socket;
+  State state = State::silent;
+  LineReader lines;
+  std::string rest; // read, not yet its turn
+  std::string unsent, sending;
+  int held = 0;
+  bool vouched = false;
+  double waits_since = 0, heard_at = 0; // since when something whole is due from it (below 0: nothing is)
+  explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
+};
+
+Server::Server(asio::io_context &io, const asio::ip::tcp::endpoint &at, Limits limits, Events events)
+    : io_(io), limits_(limits), events_(std::move(events)), acceptor_(io), accept_timer_(io),
+      look_timer_(io) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(1024);
+  acceptor_.non_blocking(true);
+  accept();
+  look();
+}
+
+Server::~Server() { stop(); }
+
+void Server::stop() {
+  accepting_ = false;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  look_timer_.cancel();
+  auto all = std::move(all_);
+  all_.clear();
+  for (auto &[id, one] : all) {
+    become(*one, State::closed);
+    one->socket.close(ignored);
+  }
+}
+
+void Server::stop_accepting() {
+  accepting_ = false;
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+double Server::now() const {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+void Server::become(Connection &one, State next) { one.state = next; } // the one place where it changes
+
+// Accepts all that wait, in bounded turns, so that a crowd does not hold up the others.
+void Server::accept() {
+  if (!accepting_) return;
+  acceptor_.async_wait(asio::socket_base::wait_read,
+                       [this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+                         if (alive.expired() || !accepting_) return;
+                         if (error) return accept_later();
+                         for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
+                           if (all_.size() >= limits_.connections && !make_room()) {
+                             ++counters_.accept_pauses;
+                             return accept_later();
+                           }
+                           asio::error_code failed;
+                           asio::ip::tcp::socket socket(io_);
+                           acceptor_.accept(socket, failed);
+                           if (failed == asio::error::would_block || failed == asio::error::try_again) break;
+                           if (failed == asio::error::connection_aborted) continue;
+                           if (failed) { // out of descriptors, mostly: those in use go on
+                             ++counters_.accept_faults;
+                             make_room();
+                             return accept_later();
+                           }
+                           adopt(std::move(socket));
+                         }
+                         accept();
+                       });
+}
+
+void Server::accept_later() {
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (!error && !alive.expired()) accept();
+  });
+}
+
+void Server::adopt(asio::ip::tcp::socket socket) {
+  ++counters_.accepted;
+  asio::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  auto one = std::make_shared<Connection>(std::move(socket));
+  one->id = next_++;
+  one->waits_since = one->heard_at = now();
+  all_[one->id] = one;
+  read(one);
+}
+
+// Closes the one that is owed least: without an open request, silent before talking, longest unheard first.
+bool Server::make_room() {
+  Connection *least = nullptr;
+  auto better = [](const Connection &a, const Connection &b) {
+    if (a.vouched != b.vouched) return !a.vouched;
+    return a.heard_at < b.heard_at;
+  };
+  for (auto &[id, one] : all_) {
+    if (one->held == 0 && (!least || better(*one, *least))) least = one.get();
+  }
+  if (!least || now() - least->heard_at < 0.05) return false; // a request may be on its way on a new one
+  ++counters_.room_cut;
+  end(*least, "room");
+  return true;
+}
+
+void Server::read(const std::shared_ptr<Connection> &one) {
+  one->socket.async_wait(asio::socket_base::wait_read,
+                         [this, one, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+                           if (alive.expired() || one->state == State::closed) return;
+                           if (error) return end(*one, "wait");
+                           asio::error_code failed;
+                           std::size_t size = one->socket.read_some(asio::buffer(buffer_), failed);
+                           if (failed == asio::error::would_block || failed == asio::error::try_again)
+                             return read(one);
+                           if (failed) return end(*one, failed == asio::error::eof ? "closed" : "reset");
+                           turn(one, std::string_view(buffer_.data(), size));
+                         });
+}
+
+void Server::turn(const std::shared_ptr<Connection> &one, std::string_view bytes) {
+  if (one->state == State::closing) return read(one); // what it still says is not read any more
+  std::size_t left = limits_.lines_a_turn, used = 0;
+  bool read_all = one->lines.take(bytes, [&](std::string_view line) {
+    // line may lie in the reader, not in bytes: what is used is counted from the bytes' line ends
+    used = bytes.find('\n', used) + 1;
+    ++counters_.lines;
+    one->heard_at = now();
+    if (one->state == State::silent) become(*one, State::talking);
+    one->waits_since = -1;
+    events_.line(one->id, line);
+    return one->state == State::talking && --left > 0;
+  });
+  if (one->state == State::closed) return;
+  if (!read_all) {
+    ++counters_.overlong;
+    return end(*one, "overlong");
+  }
+  if (one->state == State::closing) return read(one);
+  if (left == 0 && used < bytes.size()) { // the others' turn
+    one->rest.assign(bytes.substr(used));
+    asio::post(io_, [this, one, alive = std::weak_ptr<bool>(alive_)] {
+      if (alive.expired() || one->state == State::closed) return;
+      std::string rest = std::exchange(one->rest, {});
+      turn(one, rest);
+    });
+    return;
+  }
+  if (one->waits_since < 0 && one->lines.partial()) one->waits_since = now();
+  read(one);
+}
+
+bool Server::send(Id id, std::string line) {
+  auto it = all_.find(id);
+  if (it == all_.end()) return false;
+  auto one = it->second;
+  ++counters_.sent;
+  one->unsent += line;
+  if (one->unsent.size() + one->sending.size() > limits_.unsent_bytes) {
+    ++counters_.unread_cut;
+    asio::post(io_, [this, id, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) cut(id);
+    });
+    return false;
+  }
+  if (one->sending.empty()) write(one);
+  return true;
+}
+
+void Server::write(const std::shared_ptr<Connection> &one) {
+  one->sending = std::exchange(one->unsent, {});
+  asio::async_write(one->socket, asio::buffer(one->sending),
+                    [this, one, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t) {
+                      if (alive.expired() || one->state == State::closed) return;
+                      if (error) return end(*one, "write");
+                      one->sending.clear();
+                      if (!one->unsent.empty()) return write(one);
+                      if (one->state == State::closing) end(*one, "refused");
+                    });
+}
+
+void Server::hold(Id id, int by) {
+  if (auto it = all_.find(id); it != all_.end()) it->second->held += by;
+}
+
+int Server::held(Id id) const {
+  auto it = all_.find(id);
+  return it == all_.end() ? 0 : it->second->held;
+}
+
+void Server::vouch(Id id) {
+  if (auto it = all_.find(id); it != all_.end()) it->second->vouched = true, vouched_ = id;
+}
+
+std::optional<Server::Id> Server::any_vouched() const {
+  if (all_.contains(vouched_)) return vouched_;
+  const Connection *best = nullptr;
+  for (const auto &[id, one] : all_) {
+    if (one->vouched && one->state == State::talking && (!best || one->heard_at > best->heard_at))
+      best = one.get();
+  }
+  return best ? std::optional(best->id) : std::nullopt;
+}
+
+bool Server::vouched(Id id) const {
+  auto it = all_.find(id);
+  return it != all_.end() && it->second->vouched;
+}
+
+void Server::close_when_sent(Id id) {
+  auto it = all_.find(id);
+  if (it == all_.end() || it->second->state == State::closed) return;
+  auto one = it->second;
+  become(*one, State::closing);
+  one->waits_since = now();
+  if (one->sending.empty()) cut_soon(id);
+}
+
+void Server::cut_soon(Id id) {
+  auto it = all_.find(id);
+  if (it == all_.end()) return;
+  become(*it->second, State::closing);
+  asio::post(io_, [this, id, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) cut(id);
+  });
+}
+
+void Server::cut(Id id) {
+  if (auto it = all_.find(id); it != all_.end()) end(*it->second, "cut");
+}
+
+void Server::end(Connection &one, const char *why) {
+  if (one.state == State::closed) return;
+  become(one, State::closed);
+  asio::error_code ignored;
+  one.socket.close(ignored);
+  Id id = one.id;
+  auto kept = all_.extract(id);
+  events_.closed(id, why);
+}
+
+// Who connects and says nothing whole in time, or half a line, is closed; who stands idle after that is not.
+void Server::look() {
+  look_timer_.expires_after(kLookEvery);
+  look_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (error || alive.expired()) return;
+    double due = now() - limits_.first_line;
+    std::vector<Id> silent;
+    for (auto &[id, one] : all_) {
+      if (one->waits_since >= 0 && one->waits_since < due && one->held == 0) silent.push_back(id);
+    }
+    for (Id id : silent) {
+      ++counters_.silent_cut;
+      cut(id);
+    }
+    look();
+  });
+}
+
+} // namespace snowshore::jsonlines
--- /dev/null
+++ b/src/jsonlines/server.h
@@ -0,0 +1,84 @@
+// Viewers' connections: lines in, lines out, many plays on each. It knows limits and turns, no meaning. One
+// executor; no call of Events comes during a call on the server, but for cut().
+#pragma once
+#include "jsonlines/message.h"
+
+#include <asio.hpp>
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace snowshore::jsonlines {
+
+struct Limits {
+  std::size_t connections = 64;
+  std::size_t unsent_bytes = 256 * 1024; // a viewer that does not read what it is sent is cut
+  std::size_t lines_a_turn = 16;         // then other connections have theirs
+  double first_line = 2; // seconds to say something whole, from connecting or from its first byte
+};
+
+struct Counters {
+  std::uint64_t accepted = 0, silent_cut = 0, room_cut = 0, unread_cut = 0, overlong = 0, accept_faults = 0,
+                accept_pauses = 0, lines = 0, sent = 0;
+};
+
+class Server {
+ public:
+  using Id = std::uint64_t; // never given again
+  struct Events {
+    std::function<void(Id, std::string_view line)> line;
+    std::function<void(Id, const char *why)> closed; // whoever closed it, once
+  };
+  // Listens at once; throws std::system_error.
+  Server(asio::io_context &io, const asio::ip::tcp::endpoint &at, Limits limits, Events events);
+  ~Server();
+  asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
+  std::size_t connections() const { return all_.size(); }
+  const Counters &counters() const { return counters_; }
+  void set_limits(const Limits &limits) { limits_ = limits; }
+
+  bool send(Id id, std::string line); // false: there is no such connection any more
+  void hold(Id id, int by); // so many requests are open on it (added): it is not closed to make room
+  int held(Id id) const;
+  void vouch(Id id); // it has said something good: it may be told of plays that other connections brought
+  bool vouched(Id id) const;
+  std::optional<Id> any_vouched() const; // the one that was vouched for last
+  void close_when_sent(Id id);           // reads nothing more
+  void cut(Id id);                       // at once; closed comes during the call
+  void cut_soon(Id id);                  // after this turn; nothing more is read
+  void stop_accepting();
+  void stop();
+
+ private:
+  struct Connection;
+  enum class State { silent, talking, closing, closed };
+  static void become(Connection &one, State next);
+  void accept();
+  void accept_later();
+  void adopt(asio::ip::tcp::socket socket);
+  bool make_room();
+  void read(const std::shared_ptr<Connection> &one);
+  void turn(const std::shared_ptr<Connection> &one, std::string_view bytes);
+  void write(const std::shared_ptr<Connection> &one);
+  void end(Connection &one, const char *why);
+  void look(); // at those who say nothing whole
+  double now() const;
+
+  asio::io_context &io_;
+  Limits limits_;
+  Events events_;
+  Counters counters_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_, look_timer_;
+  std::array<char, 32 * 1024> buffer_; // shared: emptied before the next read
+  std::unordered_map<Id, std::shared_ptr<Connection>> all_;
+  Id next_ = 1, vouched_ = 0;
+  bool accepting_ = true;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace snowshore::jsonlines
--- /dev/null
+++ b/src/platform/boot.cpp
@@ -0,0 +1,213 @@
+#include "platform/boot.h"
+#include "decision/names.h"
+#include "given/translate.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <sstream>
+
+namespace snowshore::platform {
+
+namespace {
+
+using Json = nlohmann::json;
+
+BootError bad(const std::string &path, const std::string &why) { return BootError(path + ": " + why); }
+
+const Json &at(const Json &in, const std::string &path, const char *name) {
+  auto it = in.find(name);
+  if (it == in.end()) throw bad(path + name, "is missing");
+  return *it;
+}
+
+std::string text(const Json &in, const std::string &path, const char *name) {
+  const Json &value = at(in, path, name);
+  if (!value.is_string()) throw bad(path + name, "a text is due");
+  return value.get<std::string>();
+}
+
+double number(const Json &in, const std::string &path, const char *name, double least, double most) {
+  const Json &value = at(in, path, name);
+  if (!value.is_number()) throw bad(path + name, "a number is due");
+  double out = value.get<double>();
+  if (!(out >= least && out <= most))
+    throw bad(path + name, "from " + std::to_string(least) + " to " + std::to_string(most) + " is due, not " +
+                               value.dump());
+  return out;
+}
+
+asio::ip::tcp::endpoint endpoint(const std::string &value, const std::string &path) {
+  std::size_t colon = value.rfind(':');
+  unsigned port = 0;
+  if (colon != std::string::npos) {
+    auto [end, error] = std::from_chars(value.data() + colon + 1, value.data() + value.size(), port);
+    if (error != std::errc() || end != value.data() + value.size()) port = 70000;
+  }
+  asio::error_code error;
+  auto address = asio::ip::make_address(value.substr(0, colon), error);
+  if (colon == std::string::npos || error || port > 65535) throw bad(path, "an address and port are due");
+  return {address, static_cast<unsigned short>(port)};
+}
+
+std::string plain(const Json &value) {
+  std::string out = value.is_string() ? value.get<std::string>() : value.is_null() ? "" : value.dump();
+  std::ranges::replace(out, ' ', '_');
+  std::ranges::replace(out, ',', '_');
+  return out;
+}
+
+// Nested JSON as dotted names: a list of plain values joined by commas, one of objects as .count, .0, .1 ...
+void flatten(const Json &value, const std::string &path,
+             std::vector<std::pair<std::string, std::string>> &out) {
+  if (value.is_object()) {
+    for (const auto &[name, part] : value.items())
+      flatten(part, path.empty() ? name : path + "." + name, out);
+    return;
+  }
+  if (!value.is_array()) {
+    out.emplace_back(path, plain(value));
+    return;
+  }
+  if (std::ranges::any_of(value, [](const Json &one) { return one.is_object(); })) {
+    out.emplace_back(path + ".count", std::to_string(value.size()));
+    for (std::size_t i = 0; i < value.size(); ++i) flatten(value[i], path + "." + std::to_string(i), out);
+    return;
+  }
+  std::string joined;
+  for (const Json &one : value) joined += (joined.empty() ? "" : ",") + plain(one);
+  out.emplace_back(path, joined);
+}
+
+std::vector<std::string> words(const Given &given, const char *name) {
+  std::vector<std::string> out;
+  auto it = given.find(name);
+  if (it != given.end())
+    given::each_part(it->second, ',', [&](std::string_view word) { out.emplace_back(word); });
+  return out;
+}
+
+double value(const Given &given, const std::string &name) {
+  auto it = given.find(name);
+  auto found = it == given.end() ? std::nullopt : given::number_of(it->second);
+  if (!found) throw bad("settings", "no number for " + name);
+  return *found;
+}
+
+double value_or(const Given &given, const std::string &name, double fallback) {
+  auto it = given.find(name);
+  return it == given.end() ? fallback : given::number_of(it->second).value_or(fallback);
+}
+
+std::vector<int> whole_numbers(const Given &given, const char *name, std::size_t due) {
+  std::vector<int> out;
+  for (const std::string &word : words(given, name))
+    out.push_back(static_cast<int>(given::number_of(word).value_or(-1)));
+  if (out.size() != due)
+    throw bad("settings", std::string(name) + " holds " + std::to_string(out.size()) + " values, " +
+                              std::to_string(due) + " are due");
+  return out;
+}
+
+} // namespace
+
+// A part for the program itself (standard streams, event loop, listener, channel old and new), two fifths for
+// servers, the rest for viewers, who by the protocol hold a third at most; bytes are parts of the memory.
+Shares share_out(std::size_t sockets, std::size_t memory_mb) {
+  Shares out;
+  out.own = std::min<std::size_t>(24, sockets / 4);
+  std::size_t rest = sockets - out.own;
+  out.servers = rest * 2 / 5;
+  out.viewers = rest - out.servers;
+  std::size_t memory = memory_mb * 1024 * 1024;
+  out.held_bytes = memory / 8;
+  out.unsent_viewer = std::max<std::size_t>(64 * 1024, memory / 256);
+  out.unsent_server = std::max<std::size_t>(64 * 1024, memory / 256);
+  return out;
+}
+
+Boot read_boot(const std::string &source) {
+  Json json = Json::parse(source, nullptr, false);
+  if (json.is_discarded()) throw bad("the file", "no JSON");
+  if (!json.is_object()) throw bad("the file", "an object is due");
+  Boot out;
+  out.name = text(json, "", "name");
+  out.listen = endpoint(text(json, "", "listen"), "listen");
+  out.channel = endpoint(text(json, "", "channel"), "channel");
+  std::string seed = text(json, "", "seed");
+  auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), out.seed, 16);
+  if (error != std::errc() || end != seed.data() + seed.size())
+    throw bad("seed", "hex digits are due, 16 at most");
+  const Json &limits = at(json, "", "limits");
+  if (!limits.is_object()) throw bad("limits", "an object is due");
+  out.cores = number(limits, "limits.", "cores", 0.001, 1024);
+  out.memory_mb = static_cast<std::size_t>(number(limits, "limits.", "memory_mb", 8, 1e6));
+  out.sockets = static_cast<std::size_t>(number(limits, "limits.", "sockets", 32, 1e7));
+  out.shares = share_out(out.sockets, out.memory_mb);
+
+  const Json &settings = at(json, "", "settings");
+  if (!settings.is_object()) throw bad("settings", "an object is due");
+  std::vector<std::pair<std::string, std::string>> flat;
+  flatten(settings, "", flat);
+  std::vector<given::Field> fields(flat.begin(), flat.end());
+  out.core.given = given::translate(fields);
+  const Given &given = out.core.given;
+  out.core.seed = out.seed;
+  out.core.halls = out.places.halls = words(given, given::kHalls);
+  out.core.kinds = out.places.kinds = words(given, given::kKinds);
+  if (out.places.kinds.empty()) throw bad("settings", "no kinds of servers are named");
+  auto products = static_cast<std::size_t>(value(given, given::kProducts));
+  for (std::size_t p = 0; p < products; ++p) {
+    auto name = given.find(given::product_value(p, given::kName));
+    if (name == given.end()) throw bad("settings", "class " + std::to_string(p) + " has no name");
+    double limit = value(given, given::product_value(p, given::kTimeLimit));
+    out.core.products.push_back({name->second, limit});
+    out.longest_limit = std::max(out.longest_limit, limit);
+  }
+  if (out.core.products.empty()) throw bad("settings", "no class is named");
+  out.floors = whole_numbers(given, given::kProductFloors, products);
+  out.tops = whole_numbers(given, given::kProductTops, products);
+  out.rungs = static_cast<int>(words(given, given::kRungRates).size());
+  if (out.rungs == 0) throw bad("settings", "no rungs are given");
+  out.cells = static_cast<int>(value(given, given::kCells));
+  out.core.answer_slack = value_or(given, given::kAnswerSlack, 0.04);
+  out.core.load_in_answers = false; // loads come as notes of their own
+  out.may_advise_return =
+      given.contains(given::kMayAdviseReturn) && given.at(given::kMayAdviseReturn) != "false";
+  out.connect_time = value_or(given, "limits.connect_timeout", 0.25);
+  out.idle_time = value_or(given, "limits.idle_close", 30);
+  out.streams = static_cast<std::size_t>(std::clamp(value_or(given, "limits.multiplex", 32), 1.0, 1e6));
+  out.note_interval = value_or(given, given::kLinkNoteInterval, 0);
+
+  const Json &known = at(json, "", "known");
+  const Json &events = at(known, "known.", "cmds");
+  if (!events.is_array()) throw bad("known.cmds", "a list is due");
+  try {
+    for (std::size_t i = 0; i < events.size(); ++i) {
+      auto event = feed::read_known(events[i], "known.cmds[" + std::to_string(i) + "]");
+      if (out.known.number() == 0 && event.number > 1) out.known.start_from(event.number - 1);
+      out.known.take(event);
+    }
+  } catch (const std::invalid_argument &wrong) {
+    throw BootError(wrong.what());
+  }
+  auto last = static_cast<std::uint64_t>(number(known, "known.", "cursor", 0, 1e18));
+  out.known.start_from(std::max(last, out.known.number()));
+  return out;
+}
+
+Boot load_boot(const std::string &file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw BootError(file + ": cannot be read");
+  std::ostringstream all;
+  all << in.rdbuf();
+  try {
+    return read_boot(all.str());
+  } catch (const BootError &error) {
+    throw BootError(file + ": " + error.what());
+  }
+}
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/platform/ends.cpp
@@ -0,0 +1,60 @@
+#include "platform/ends.h"
+#include "given/translate.h"
+
+namespace snowshore::platform {
+
+SetUpEnd end_of(rtsp::End end, const rtsp::Message *message) {
+  switch (end) {
+  case rtsp::End::refused_up:
+  case rtsp::End::not_up:
+    return {Outcome::unreachable};
+  case rtsp::End::closed:
+  case rtsp::End::reset:
+    return {Outcome::reset};
+  case rtsp::End::timed_out:
+    return {Outcome::timed_out};
+  case rtsp::End::unreadable: // it ran; the answer was spoilt on its way
+    return {Outcome::error};
+  case rtsp::End::answered:
+    break;
+  }
+  if (!message || message->status == 0) return {Outcome::reset}; // released before its answer
+  switch (message->status) {
+  case 200:
+    return {Outcome::done, true};
+  case 453:
+    return {Outcome::busy};
+  case 454:
+    return {Outcome::skipped};
+  case 504:
+    return {Outcome::reset};
+  default:
+    return {Outcome::error};
+  }
+}
+
+std::optional<int> cause_of(const rtsp::Message &message) {
+  auto reason = message.find("Reason");
+  if (!reason) return std::nullopt;
+  std::size_t at = reason->find("cause=");
+  if (at == std::string_view::npos) return std::nullopt;
+  std::string_view digits = reason->substr(at + 6);
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  auto value = given::number_of(digits);
+  return value && *value < 1000 ? std::optional(static_cast<int>(*value)) : std::nullopt;
+}
+
+Outcome outcome_of_release(int cause) {
+  if (cause == kCauseEnded) return Outcome::done;
+  if (cause == kCauseMoved) return Outcome::recalled;
+  return Outcome::reset;
+}
+
+Outcome outcome_of_probe(rtsp::End end, const rtsp::Message *message) {
+  if (end == rtsp::End::timed_out) return Outcome::timed_out;
+  if (end == rtsp::End::refused_up || end == rtsp::End::not_up) return Outcome::unreachable;
+  if (!message) return Outcome::reset;
+  return message->status == 200 ? Outcome::done : message->status == 503 ? Outcome::busy : Outcome::error;
+}
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/platform/front.cpp
@@ -0,0 +1,172 @@
+#include "platform/front.h"
+#include "decision/names.h"
+#include "telemetry/loop_clock.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace snowshore::platform {
+
+using telemetry::span;
+
+namespace {
+
+// After SIGTERM new connections keep coming for 0.4 s and requests for 0.2 s more; what came within 0.7 s is
+// owed.
+constexpr double kStillComing = 0.7;
+constexpr double kLookEvery = 0.02;
+constexpr double kReportEvery = 5;
+
+std::size_t resident_kb() {
+  std::ifstream in("/proc/self/statm");
+  std::size_t all = 0, resident = 0;
+  in >> all >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1024;
+}
+
+double cpu_seconds() {
+  rusage use{};
+  getrusage(RUSAGE_SELF, &use);
+  auto seconds = [](const timeval &t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
+  return seconds(use.ru_utime) + seconds(use.ru_stime);
+}
+
+} // namespace
+
+PlatformFront::PlatformFront(asio::io_context &io, Boot boot, telemetry::Log &log)
+    : io_(io), boot_(std::move(boot)), log_(log), viewers_(io, boot_, log),
+      servers_(io, boot_, log, viewers_),
+      channel_(new feed::Client(io, boot_.channel, boot_.places, boot_.known, boot_.seed, log)),
+      core_(io, boot_.core, log, std::unique_ptr<edge::ListSource>(channel_), viewers_, servers_),
+      drain_timer_(io), report_timer_(io) {
+  viewers_.attach(core_);
+  servers_.attach(core_);
+  viewers_.listen();
+  core_.start();
+  servers_.start();
+  report();
+}
+
+PlatformFront::~PlatformFront() { viewers_.stop(); }
+
+std::optional<std::string> PlatformFront::change(Boot next) {
+  if (next.listen != boot_.listen) return "listen: needs a restart";
+  if (next.core.kinds != boot_.core.kinds || next.core.halls != boot_.core.halls ||
+      next.cells != boot_.cells || next.rungs != boot_.rungs ||
+      next.core.products.size() != boot_.core.products.size())
+    return "settings: another shape of classes, kinds, zones, cells or rungs needs a restart";
+  bool given = next.core.given != boot_.core.given;
+  boot_.channel = next.channel;
+  boot_.core.given = next.core.given;
+  channel_->move_to(next.channel);
+  if (given) core_.change(boot_.core);
+  return std::nullopt;
+}
+
+void PlatformFront::drain(std::function<void()> done) {
+  drained_ = std::move(done);
+  viewers_.drain();
+  drain_timer_.expires_after(span(kStillComing));
+  drain_timer_.async_wait([this](asio::error_code error) {
+    if (error) return;
+    viewers_.shut();
+    look_drained();
+  });
+}
+
+void PlatformFront::look_drained() {
+  drain_timer_.expires_after(span(kLookEvery));
+  drain_timer_.async_wait([this](asio::error_code error) {
+    if (error) return;
+    if (core_.in_hand() > 0) return look_drained();
+    if (drained_) std::exchange(drained_, nullptr)();
+  });
+}
+
+// What the front believes beside what its sockets carried, at an interval.
+void PlatformFront::report() {
+  report_timer_.expires_after(span(kReportEvery));
+  report_timer_.async_wait([this](asio::error_code error) {
+    if (error) return;
+    servers_.report();
+    const auto &v = viewers_.counters();
+    const auto &l = viewers_.line_counters();
+    const auto &s = servers_.counters();
+    const auto &p = servers_.peer_counters();
+    const auto &c = channel_->counters();
+    nlohmann::json answers, outcomes, downs;
+    for (const auto &[name, count] : core_.answers_so_far()) answers[name] = count;
+    for (std::size_t o = 0; o < s.outcomes.size(); ++o)
+      outcomes[std::string(given::kOutcomeNames[o])] = s.outcomes[o];
+    for (std::size_t d = 0; d < s.downs.size(); ++d) downs[rtsp::kEndNames[d]] = s.downs[d];
+    log_.info("summary",
+              {{"resident_kb", resident_kb()},
+               {"cpu", cpu_seconds()},
+               {"connections", {{"viewers", viewers_.connections()}, {"servers", servers_.connections()}}},
+               {"shares", {{"viewers", boot_.shares.viewers}, {"servers", boot_.shares.servers}}},
+               {"in_hand", core_.in_hand()},
+               {"playing", core_.plays().count(edge::PlayState::playing)},
+               {"answers", answers},
+               {"outcomes", outcomes},
+               {"downs", downs},
+               {"viewers",
+                {{"set_ups", v.set_ups},
+                 {"handed_over", v.handed_over},
+                 {"left", v.left},
+                 {"released", v.released},
+                 {"refused_bad", v.refused_bad},
+                 {"unreadable", v.unreadable},
+                 {"strangers", v.strangers},
+                 {"no_room", v.no_room},
+                 {"announced_later", v.announced_later},
+                 {"moved_over", v.moved_over},
+                 {"tests", v.tests},
+                 {"accepted", l.accepted},
+                 {"silent_cut", l.silent_cut},
+                 {"room_cut", l.room_cut},
+                 {"unread_cut", l.unread_cut},
+                 {"overlong", l.overlong},
+                 {"accept_faults", l.accept_faults},
+                 {"accept_pauses", l.accept_pauses},
+                 {"lines", l.lines}}},
+               {"servers",
+                {{"connects", p.connects},
+                 {"refused", p.refused},
+                 {"not_up", p.not_up},
+                 {"resets", p.resets},
+                 {"unreadable", p.unreadable},
+                 {"set_ups", p.set_ups},
+                 {"answers", p.answers},
+                 {"given_up", p.given_up},
+                 {"late", p.late},
+                 {"strangers", p.strangers},
+                 {"no_room", p.no_room},
+                 {"ended_done", s.ended_done},
+                 {"ended_reset", s.ended_reset},
+                 {"ended_left", s.ended_left},
+                 {"notes", s.notes},
+                 {"malformed", s.malformed},
+                 {"lost_silent", s.lost_silent},
+                 {"lost_restarted", s.lost_restarted},
+                 {"lost_gone", s.lost_gone}}},
+               {"channel",
+                {{"number", core_.list_version()},
+                 {"connects", c.connects},
+                 {"breaks", c.breaks},
+                 {"silences", c.silences},
+                 {"refused", c.refused},
+                 {"unreadable", c.unreadable},
+                 {"events", c.events},
+                 {"repeated", c.repeated},
+                 {"gaps", c.gaps},
+                 {"passed_over", c.passed_over},
+                 {"silent_for", channel_->silent_for()}}}});
+    report();
+  });
+}
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/platform/front.h
@@ -0,0 +1,43 @@
+// One front on the platform: the core between the viewers' and the servers' door, with the command channel as
+// its list source. One executor, one thread.
+#pragma once
+#include "feed/client.h"
+#include "platform/boot.h"
+#include "platform/servers.h"
+#include "platform/viewers.h"
+
+#include <functional>
+#include <optional>
+
+namespace snowshore::platform {
+
+class PlatformFront {
+ public:
+  PlatformFront(asio::io_context &io, Boot boot, telemetry::Log &log); // throws std::system_error
+  ~PlatformFront();
+  edge::Core &core() { return core_; }
+  Viewers &viewers() { return viewers_; }
+  Servers &servers() { return servers_; }
+  feed::Client &channel() { return *channel_; }
+
+  // The file as it is now, in place of the last; why it can't be taken (then nothing has changed).
+  std::optional<std::string> change(Boot next);
+  // The planned end: goes on serving while requests may still come, then answers what it has and is done.
+  void drain(std::function<void()> done);
+
+ private:
+  void look_drained();
+  void report();
+
+  asio::io_context &io_;
+  Boot boot_;
+  telemetry::Log &log_;
+  Viewers viewers_;
+  Servers servers_;
+  feed::Client *channel_;
+  edge::Core core_;
+  asio::steady_timer drain_timer_, report_timer_;
+  std::function<void()> drained_;
+};
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/platform/liveness.h
@@ -0,0 +1,35 @@
+// Whether a server that holds plays of ours still lives, from what its connections show. No I/O and no clock:
+// facts come in with their time. A connection that breaks proves nothing; a process that is gone refuses new
+// ones; a machine that is gone or cut off lets none come up.
+#pragma once
+#include <cstdint>
+
+namespace snowshore::platform {
+
+struct LivenessTerms {    // seconds
+  double ask_after = 2.5; // heard nothing for so long: one more connection is asked for
+  double ask_every = 0.5;
+  double lost_after = 4; // nothing heard and none came up for so long: its plays are over; the protocol's 8 s
+                         // hold this, the wait for a connection, and a loop that is behind
+  double refused_apart = 0.15; // two refusals so far apart are no accident of one moment
+};
+
+class Liveness {
+ public:
+  enum class Verdict { well, ask, lost };
+  explicit Liveness(const LivenessTerms &terms) : terms_(&terms) {}
+  void heard(double now); // bytes came, or a connection came up
+  void refused(double now);
+  void not_up(double now); // a connection did not come up in its time
+  // connected: some connection to it is up. An answer `ask` counts as asked.
+  Verdict judge(double now, bool connected);
+  double quiet_for(double now) const { return now - heard_at_; }
+
+ private:
+  const LivenessTerms *terms_;
+  double heard_at_ = -1e9, asked_at_ = -1e9, refused_since_ = -1;
+  int failed_ = 0;
+  bool refused_again_ = false;
+};
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/platform/servers.cpp
@@ -0,0 +1,303 @@
+#include "platform/servers.h"
+#include "decision/names.h"
+#include "given/translate.h"
+#include "platform/ends.h"
+#include "telemetry/loop_clock.h"
+
+#include <algorithm>
+
+namespace snowshore::platform {
+
+using edge::HeldPlay;
+using edge::PlayState;
+using telemetry::span;
+
+namespace {
+
+constexpr double kWatchEvery = 0.1;
+
+constexpr std::pair<std::string_view, NoteKind> kNotes[] = {{"delivered", NoteKind::share_delivered},
+                                                            {"rung", NoteKind::rung},
+                                                            {"link", NoteKind::link_asked},
+                                                            {"uplink", NoteKind::uplink_asked}};
+
+} // namespace
+
+Servers::Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers)
+    : io_(io), boot_(boot), log_(log), viewers_(viewers), watch_timer_(io) {
+  times_.connect = times_.whole = times_.probe = boot_.connect_time;
+  times_.idle = boot_.idle_time;
+  limits_.set_ups = boot_.streams;
+  limits_.unsent = boot_.shares.unsent_server;
+}
+
+void Servers::start() { watch(); }
+
+std::size_t Servers::connections() const {
+  std::size_t sum = 0;
+  for (const auto &one : sites_) sum += one && one->peer ? one->peer->connections() : 0;
+  return sum;
+}
+
+// ---- The list.
+
+void Servers::listed(int server, const edge::ListedServer &entry) {
+  auto place = static_cast<std::size_t>(server);
+  if (place >= sites_.size()) sites_.resize(place + 1);
+  if (!sites_[place]) {
+    sites_[place] = std::make_unique<Site>(liveness_terms_);
+    sites_[place]->serial = next_serial_++;
+  }
+  Site &one = *sites_[place];
+  bool moved = one.peer && one.entry.address != entry.address;
+  bool restarted = one.peer && entry.started > one.entry.started;
+  bool gone = entry.standing == Standing::left;
+  one.entry = entry;
+  if (moved) one.peer.reset();
+  if (!one.peer && !gone) open(server);
+  // Descriptors are shared out evenly over the servers that may be connected to.
+  auto listed = static_cast<std::size_t>(
+      std::ranges::count_if(sites_, [](const auto &s) { return s && s->entry.standing != Standing::left; }));
+  limits_.connections =
+      std::clamp<std::size_t>(boot_.shares.servers / std::max<std::size_t>(listed, 1), 1, 8);
+  if (!moved && !restarted && !(gone && (!one.peer || one.peer->open() == 0))) return;
+  asio::post(io_, [this, server, serial = one.serial, restarted, before = entry.started,
+                   alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired() || !site(server) || site(server)->serial != serial) return;
+    ++(restarted ? counters_.lost_restarted : counters_.lost_gone);
+    lost(server, restarted ? "restarted" : "gone", restarted ? before : 1e18);
+  });
+}
+
+void Servers::open(int server) {
+  Site &one = *site(server);
+  rtsp::Peer::Events events;
+  events.set_up_ended = [this, server](std::uint64_t session, rtsp::End end, const rtsp::Message *message,
+                                       double took) { set_up_ended(server, session, end, message, took); };
+  events.request = [this, server](std::uint64_t session, const rtsp::Message &message) {
+    request(server, session, message);
+  };
+  events.probed = [this, server](rtsp::End end, const rtsp::Message *message) {
+    Outcome outcome = outcome_of_probe(end, message);
+    core_->probe_answered(server, outcome,
+                          message && outcome == Outcome::done ? load_of(*message) : LoadReport{});
+  };
+  events.heard = events.up = [this, server] { site(server)->life.heard(core_->clock().now()); };
+  events.down = [this, server](rtsp::End end, bool last) { down(server, end, last); };
+  events.stands = [this, server](std::uint64_t session) {
+    int play = core_->plays().find(session);
+    return play >= 0 && core_->plays().at(play).server == server;
+  };
+  one.peer = std::make_unique<rtsp::Peer>(io_, one.entry.address, times_, limits_, peer_counters_,
+                                          core_->seed() ^ *one.entry.number, std::move(events));
+}
+
+void Servers::forget_server(int server) {
+  if (!site(server)) return;
+  // It may be the one whose event is being told: it goes after this turn.
+  asio::post(io_, [gone = std::shared_ptr<Site>(std::move(sites_[static_cast<std::size_t>(server)]))] {});
+}
+
+void Servers::down(int server, rtsp::End end, bool last) {
+  Site &one = *site(server);
+  ++counters_.downs[static_cast<std::size_t>(end)];
+  double now = core_->clock().now();
+  if (end == rtsp::End::refused_up) one.life.refused(now);
+  if (end == rtsp::End::not_up) one.life.not_up(now);
+  if (!last || one.entry.standing != Standing::left) return;
+  ++counters_.lost_gone;
+  lost(server, "gone", 1e18);
+}
+
+void Servers::lost(int server, const char *why, double before) {
+  bool any = false;
+  core_->plays().each([&](int play) {
+    const HeldPlay &held = core_->plays().at(play);
+    any = any || (held.state == PlayState::playing && held.server == server && held.started_at < before);
+  });
+  if (any) core_->server_lost(server, why, before);
+}
+
+// Servers that hold plays of ours keep a connection, on which they say what concerns them; one that says
+// nothing is asked whether it lives.
+void Servers::watch() {
+  watch_timer_.expires_after(span(kWatchEvery));
+  watch_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (error || alive.expired()) return;
+    double now = core_->clock().now();
+    std::vector<bool> holds(sites_.size());
+    core_->plays().each([&](int play) {
+      const HeldPlay &held = core_->plays().at(play);
+      if (held.state == PlayState::playing) holds[static_cast<std::size_t>(held.server)] = true;
+    });
+    for (std::size_t s = 0; s < holds.size(); ++s) {
+      if (!holds[s] || !sites_[s]) continue;
+      Site &one = *sites_[s];
+      if (!one.peer) {
+        lost(static_cast<int>(s), "gone", 1e18);
+        continue;
+      }
+      bool gone = one.entry.standing == Standing::left; // its address may be another's
+      switch (one.life.judge(now, one.peer->open() > 0)) {
+      case Liveness::Verdict::ask:
+        if (!gone) one.peer->ask();
+        break;
+      case Liveness::Verdict::lost:
+        ++counters_.lost_silent;
+        lost(static_cast<int>(s), "silent", 1e18);
+        break;
+      case Liveness::Verdict::well:
+        break;
+      }
+    }
+    watch();
+  });
+}
+
+// ---- Set-ups.
+
+void Servers::set_up(int play, const edge::Allocation &allocation) {
+  const HeldPlay &held = core_->plays().at(play);
+  Site *one = site(allocation.server);
+  if (!one || !one->peer || one->entry.standing == Standing::left ||
+      allocation.time_out <= 0) { // provably never sent
+    asio::post(
+        io_, [this, ref = core_->ref(play), number = allocation.number, alive = std::weak_ptr<bool>(alive_)] {
+          edge::SetUpResult result;
+          result.outcome = Outcome::unreachable;
+          if (!alive.expired()) core_->set_up_ended(ref, number, result);
+        });
+    return;
+  }
+  ++one->sent;
+  rtsp::SetUp set_up;
+  set_up.session = held.id;
+  set_up.title = core_->title_of(play);
+  set_up.tier = boot_.core.products[static_cast<std::size_t>(held.product)].name;
+  set_up.description = viewers_.description(play);
+  set_up.rung = allocation.rung;
+  set_up.time_out = allocation.time_out;
+  one->peer->set_up(set_up);
+}
+
+void Servers::set_up_ended(int server, std::uint64_t session, rtsp::End end, const rtsp::Message *message,
+                           double took) {
+  SetUpEnd how = end_of(end, message);
+  Site &one = *site(server);
+  ++(how.started ? one.started : how.outcome == Outcome::busy ? one.refused : one.failed);
+  ++counters_.outcomes[static_cast<std::size_t>(how.outcome)];
+  int play = core_->plays().find(session);
+  if (play < 0) return;
+  const HeldPlay &held = core_->plays().at(play);
+  if (held.state != PlayState::allocating || held.server != server) return;
+  if (log_.writes(telemetry::Level::debug))
+    log_.debug("set_up_ended", {{"session", session},
+                                {"server", one.entry.id},
+                                {"end", rtsp::kEndNames[static_cast<int>(end)]},
+                                {"status", message ? message->status : 0},
+                                {"took", took}});
+  edge::SetUpResult result;
+  result.outcome = how.outcome, result.started = how.started, result.took = took;
+  if (message) {
+    result.load = load_of(*message);
+    result.description = message->body;
+  }
+  core_->set_up_ended(core_->ref(play), held.allocation, result);
+}
+
+void Servers::withdraw(int play, std::string_view) {
+  const HeldPlay &held = core_->plays().at(play);
+  if (Site *one = site(held.server); one && one->peer) one->peer->give_up(held.id);
+}
+
+// ---- Plays that stand.
+
+void Servers::step(int play, int rung) {
+  const HeldPlay &held = core_->plays().at(play);
+  if (Site *one = site(held.server); one && one->peer && one->entry.standing != Standing::left)
+    one->peer->step(held.id, rung);
+}
+
+void Servers::end(int play, std::string_view why) {
+  const HeldPlay &held = core_->plays().at(play);
+  if (Site *one = site(held.server); one && one->peer && one->entry.standing != Standing::left)
+    one->peer->release(held.id, why == "moved" ? kCauseMoved : kCauseEnded);
+}
+
+void Servers::probe(int server) {
+  Site *one = site(server);
+  if (one && one->peer) return one->peer->probe();
+  asio::post(io_, [this, server, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) core_->probe_answered(server, Outcome::unreachable, {});
+  });
+}
+
+LoadReport Servers::load_of(const rtsp::Message &message) {
+  LoadReport report;
+  if (auto text = message.find("X-Gauges"); text && !given::read_load(*text, ';', report).empty())
+    ++counters_.malformed;
+  return report;
+}
+
+// A note on a play, or its end at the server; a repeat of an end finds nothing.
+void Servers::request(int server, std::uint64_t session, const rtsp::Message &message) {
+  int play = core_->plays().find(session);
+  if (play < 0 || core_->plays().at(play).server != server ||
+      core_->plays().at(play).state != PlayState::playing) {
+    ++counters_.strangers;
+    return;
+  }
+  if (message.method == "ANNOUNCE") {
+    auto name = message.find("X-Outcome"), amount = message.find("P-Amount");
+    auto value = amount ? given::number_of(*amount) : std::nullopt;
+    auto kind = std::ranges::find(kNotes, name.value_or(""), &std::pair<std::string_view, NoteKind>::first);
+    if (!value || kind == std::end(kNotes)) {
+      ++counters_.malformed;
+      return;
+    }
+    ++counters_.notes, ++site(server)->notes;
+    return core_->note(play, kind->second, *value);
+  }
+  if (message.method != "TEARDOWN") return;
+  Outcome outcome = outcome_of_release(cause_of(message).value_or(kCauseFailed));
+  ++(outcome == Outcome::done    ? counters_.ended_done
+     : outcome == Outcome::reset ? counters_.ended_reset
+                                 : counters_.ended_left);
+  core_->count_ended(outcome == Outcome::done ? "done" : outcome == Outcome::reset ? "reset" : "left");
+  core_->play_over(play, outcome, load_of(message));
+}
+
+// ---- Belief beside traffic.
+
+void Servers::report() {
+  std::vector<int> plays(sites_.size());
+  core_->plays().each([&](int play) {
+    const HeldPlay &held = core_->plays().at(play);
+    if (held.state == PlayState::playing) ++plays[static_cast<std::size_t>(held.server)];
+  });
+  for (std::size_t s = 0; s < sites_.size(); ++s) {
+    if (!sites_[s]) continue;
+    Site &one = *sites_[s];
+    ServerView view = core_->view_of(static_cast<int>(s));
+    log_.info("server", {{"server", one.entry.id},
+                         {"standing", static_cast<int>(one.entry.standing)},
+                         {"plays", plays[s]},
+                         {"believed_plays", view.plays},
+                         {"strikes", view.strikes},
+                         {"avoided", view.avoided},
+                         {"may_be_cold", view.may_be_cold},
+                         {"link", view.link_use},
+                         {"link_age", view.link_age},
+                         {"uplink", view.uplink_use},
+                         {"connections", one.peer ? one.peer->connections() : 0},
+                         {"quiet", std::min(1e6, one.life.quiet_for(core_->clock().now()))},
+                         {"sent", one.sent},
+                         {"started", one.started},
+                         {"refused", one.refused},
+                         {"failed", one.failed},
+                         {"notes", one.notes}});
+    one.sent = one.started = one.refused = one.failed = one.notes = 0;
+  }
+}
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/platform/servers.h
@@ -0,0 +1,78 @@
+// The platform's servers' door: the core's set-ups, rungs and ends onto kept RTSP connections, what servers
+// say into calls on the core; and the watch over servers that hold plays, judged by Liveness.
+#pragma once
+#include "edge/core.h"
+#include "platform/boot.h"
+#include "platform/liveness.h"
+#include "platform/viewers.h"
+#include "rtsp/peer.h"
+
+#include <memory>
+#include <vector>
+
+namespace snowshore::platform {
+
+class Servers final : public edge::ServersDoor {
+ public:
+  struct Counters {
+    std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, notes = 0, malformed = 0, strangers = 0,
+                  lost_silent = 0, lost_restarted = 0, lost_gone = 0;
+    std::array<std::uint64_t, 8> outcomes{};                       // of set-ups
+    std::array<std::uint64_t, std::size(rtsp::kEndNames)> downs{}; // of connections
+  };
+  Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers);
+  void attach(edge::Core &core) { core_ = &core; }
+  void start(); // the watch
+
+  const Counters &counters() const { return counters_; }
+  const rtsp::PeerCounters &peer_counters() const { return peer_counters_; }
+  std::size_t connections() const;
+  void report(); // what is believed of each server beside what its sockets carried, into the log
+
+  void set_up(int play, const edge::Allocation &allocation) override;
+  void withdraw(int play, std::string_view why) override;
+  void step(int play, int rung) override;
+  void end(int play, std::string_view why) override;
+  void probe(int server) override;
+  void listed(int server, const edge::ListedServer &entry) override;
+  void forget_server(int server) override;
+
+ private:
+  struct Site { // one server
+    edge::ListedServer entry;
+    std::unique_ptr<rtsp::Peer> peer;
+    Liveness life;
+    std::uint64_t serial = 0; // its index may be another's by then
+    std::uint64_t sent = 0, started = 0, refused = 0, failed = 0, notes = 0; // since the last report
+    explicit Site(const LivenessTerms &terms) : life(terms) {}
+  };
+  Site *site(int server) {
+    return static_cast<std::size_t>(server) < sites_.size() ? sites_[static_cast<std::size_t>(server)].get()
+                                                            : nullptr;
+  }
+  void open(int server);
+  void set_up_ended(int server, std::uint64_t session, rtsp::End end, const rtsp::Message *message,
+                    double took);
+  void request(int server, std::uint64_t session, const rtsp::Message &message);
+  void down(int server, rtsp::End end, bool last);
+  void lost(int server, const char *why, double before);
+  LoadReport load_of(const rtsp::Message &message);
+  void watch();
+
+  asio::io_context &io_;
+  const Boot &boot_;
+  telemetry::Log &log_;
+  Viewers &viewers_;
+  edge::Core *core_ = nullptr;
+  rtsp::Times times_;
+  rtsp::Limits limits_;
+  LivenessTerms liveness_terms_;
+  rtsp::PeerCounters peer_counters_;
+  Counters counters_;
+  std::vector<std::unique_ptr<Site>> sites_; // by server
+  std::uint64_t next_serial_ = 1;
+  asio::steady_timer watch_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace snowshore::platform
--- /dev/null
+++ b/src/rtsp/peer.cpp
@@ -0,0 +1,381 @@
+#include "rtsp/peer.h"
+#include "telemetry/loop_clock.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace snowshore::rtsp {
+
+using telemetry::span;
+
+namespace {
+
+constexpr double kRetiredStays =
+    1; // a retired connection may still bring a late answer that must be released
+constexpr double kLookEvery = 0.1;
+
+std::string hex(std::uint64_t value) {
+  std::string out(16, '0');
+  for (std::size_t i = 16; i-- > 0; value >>= 4) out[i] = "0123456789abcdef"[value & 15];
+  return out;
+}
+
+std::optional<std::uint64_t> session_of(const Message &message) {
+  auto text = message.find("Session");
+  if (!text || text->size() != 16) return std::nullopt;
+  std::uint64_t value = 0;
+  for (char c : *text) {
+    int digit = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+    if (digit < 0) return std::nullopt;
+    value = value << 4 | static_cast<std::uint64_t>(digit);
+  }
+  return value;
+}
+
+Message request(const char *method, std::string uri, const char *number, std::uint64_t session) {
+  Message message;
+  message.method = method;
+  message.uri = std::move(uri);
+  message.add("CSeq", number);
+  message.add("Session", hex(session));
+  return message;
+}
+
+constexpr const char *kAnyAddress = "rtsp://media/session";
+
+} // namespace
+
+void PeerCounters::add(const PeerCounters &o) {
+  connects += o.connects, refused += o.refused, not_up += o.not_up, resets += o.resets,
+      unreadable += o.unreadable, set_ups += o.set_ups, answers += o.answers, given_up += o.given_up,
+      late += o.late, strangers += o.strangers, no_room += o.no_room;
+}
+
+struct Peer::Link {
+  asio::ip::tcp::socket socket;
+  asio::steady_timer timer; // of connecting
+  State state = State::connecting;
+  Reader reader;
+  std::string unsent, sending;
+  std::vector<std::pair<std::uint64_t, std::string>> waiting; // until it is up, by session
+  std::vector<std::uint64_t> set_ups;                         // open on it
+  bool retired = false;
+  double used_at = 0, heard_at = 0, partial_since = -1, retired_at = 0;
+  std::array<char, 4096> buffer;
+  explicit Link(asio::io_context &io) : socket(io), timer(io) {}
+};
+
+Peer::Peer(asio::io_context &io, asio::ip::tcp::endpoint at, const Times &times, const Limits &limits,
+           PeerCounters &counters, std::uint64_t seed, Events events)
+    : io_(io), at_(std::move(at)), times_(times), limits_(limits), counters_(counters), next_probe_(seed | 1),
+      events_(std::move(events)), probe_timer_(io), look_timer_(io) {
+  look();
+}
+
+Peer::~Peer() {
+  alive_.reset();
+  for (auto &link : links_) {
+    become(*link, State::closed);
+    asio::error_code ignored;
+    link->socket.close(ignored);
+    link->timer.cancel();
+  }
+}
+
+double Peer::now() const {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+void Peer::become(Link &link, State next) { link.state = next; } // the one place where it changes
+
+std::size_t Peer::open() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(links_, [](const auto &link) { return link->state == State::open; }));
+}
+
+// The one with the fewest set-ups open; another where each has some and there is room for one more.
+std::shared_ptr<Peer::Link> Peer::choose(bool for_set_up) {
+  std::shared_ptr<Link> best;
+  auto rank = [](const Link &link) { return link.set_ups.size() * 2 + (link.state == State::connecting); };
+  for (auto &link : links_) {
+    if (link->state == State::closed || link->retired) continue;
+    if (for_set_up && link->set_ups.size() >= limits_.set_ups) continue;
+    if (link->state == State::open && link->set_ups.empty() && now() - link->used_at > times_.idle * 0.8)
+      continue; // the other side may be closing it
+    if (!best || rank(*link) < rank(*best)) best = link;
+  }
+  std::size_t live = static_cast<std::size_t>(
+      std::ranges::count_if(links_, [](const auto &link) { return !link->retired; }));
+  if (best && (!for_set_up || best->set_ups.empty() || live >= limits_.connections)) return best;
+  if (!best && live >= limits_.connections) return nullptr;
+  return connect();
+}
+
+std::shared_ptr<Peer::Link> Peer::connect() {
+  auto link = std::make_shared<Link>(io_);
+  links_.push_back(link);
+  ++counters_.connects;
+  link->used_at = now();
+  std::weak_ptr<bool> alive = alive_;
+  link->timer.expires_after(span(times_.connect));
+  link->timer.async_wait([this, link, alive](asio::error_code error) {
+    if (!error && !alive.expired() && link->state == State::connecting) end(link, End::not_up);
+  });
+  link->socket.async_connect(at_, [this, link, alive](asio::error_code error) {
+    if (alive.expired() || link->state != State::connecting) return;
+    link->timer.cancel();
+    if (error) return end(link, error == asio::error::connection_refused ? End::refused_up : End::not_up);
+    asio::error_code ignored;
+    link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    become(*link, State::open);
+    link->used_at = now();
+    for (auto &[session, text] : std::exchange(link->waiting, {})) link->unsent += text;
+    if (!link->unsent.empty()) write(link);
+    read(link);
+    events_.up();
+  });
+  return link;
+}
+
+void Peer::say(const std::shared_ptr<Link> &link, std::uint64_t session, std::string text) {
+  link->used_at = now();
+  if (link->state == State::connecting) {
+    link->waiting.emplace_back(session, std::move(text));
+    return;
+  }
+  link->unsent += text;
+  if (link->state == State::open && link->sending.empty()) write(link);
+  if (link->unsent.size() > limits_.unsent) // it does not read what it is sent
+    asio::post(io_, [this, link, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) end(link, End::reset);
+    });
+}
+
+void Peer::write(const std::shared_ptr<Link> &link) {
+  link->sending = std::exchange(link->unsent, {});
+  asio::async_write(link->socket, asio::buffer(link->sending),
+                    [this, link, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t) {
+                      if (alive.expired() || link->state != State::open) return;
+                      link->sending.clear();
+                      if (error) return end(link, End::reset);
+                      if (!link->unsent.empty()) write(link);
+                    });
+}
+
+void Peer::read(const std::shared_ptr<Link> &link) {
+  link->socket.async_read_some(asio::buffer(link->buffer), [this, link, alive = std::weak_ptr<bool>(alive_)](
+                                                               asio::error_code error, std::size_t size) {
+    if (alive.expired() || link->state != State::open) return;
+    if (error) return end(link, error == asio::error::eof ? End::closed : End::reset);
+    link->used_at = link->heard_at = now();
+    events_.heard();
+    bool readable =
+        link->reader.take(std::string_view(link->buffer.data(), size), [&](const Message &message) {
+          if (!alive.expired() && link->state == State::open) on(link, message);
+        });
+    if (alive.expired() || link->state != State::open) return;
+    if (!readable) return end(link, End::unreadable);
+    if (!link->reader.partial())
+      link->partial_since = -1;
+    else if (link->partial_since < 0)
+      link->partial_since = now();
+    read(link);
+  });
+}
+
+void Peer::on(const std::shared_ptr<Link> &link, const Message &message) {
+  auto session = session_of(message);
+  if (!session) return end(link, End::unreadable); // each message names its session
+  if (message.status == 0) {
+    if (message.method == "TEARDOWN") {
+      Message heard;
+      heard.status = 200;
+      if (auto number = message.find("CSeq")) heard.add("CSeq", *number);
+      heard.add("Session", hex(*session));
+      say(link, *session, rtsp::write(heard));
+      if (out_.contains(*session)) return set_up_over(*session, End::answered, &message);
+    }
+    return events_.request(*session, message);
+  }
+  if (message.status < 200) return; // progress
+  auto number = message.find("CSeq");
+  if (probe_ == *session && number == "3") {
+    probe_ = 0;
+    probe_timer_.cancel();
+    return events_.probed(End::answered, &message);
+  }
+  if (number != "1") return; // to a release, a rung: wants nothing
+  auto it = out_.find(*session);
+  if (it != out_.end()) {
+    if (it->second.link.lock() != link) return; // not asked here
+    ++counters_.answers;
+    return set_up_over(*session, End::answered, &message);
+  }
+  if (message.status != 200) return;
+  if (std::ranges::find(given_up_, *session) == given_up_.end() || events_.stands(*session)) {
+    ++counters_.strangers;
+    return;
+  }
+  ++counters_.late;
+  Message tear = request("TEARDOWN", kAnyAddress, "2", *session);
+  tear.add("Reason", "cause=16");
+  say(link, *session, rtsp::write(tear));
+}
+
+void Peer::set_up_over(std::uint64_t session, End how, const Message *message) {
+  auto it = out_.find(session);
+  if (it == out_.end()) return;
+  double took = now() - it->second.sent;
+  if (auto link = it->second.link.lock()) std::erase(link->set_ups, session);
+  out_.erase(it);
+  events_.set_up_ended(session, how, message, took);
+}
+
+void Peer::set_up(const SetUp &set_up) {
+  ++counters_.set_ups;
+  auto fail = [&](End how) {
+    asio::post(io_, [this, how, session = set_up.session, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) events_.set_up_ended(session, how, nullptr, 0);
+    });
+  };
+  auto link = choose(true);
+  if (!link) {
+    ++counters_.no_room;
+    return fail(End::not_up);
+  }
+  Message message = request("SETUP", "rtsp://media/" + std::string(set_up.title), "1", set_up.session);
+  message.add("X-Tier", set_up.tier);
+  message.add("X-Deadline", std::to_string(static_cast<long long>(set_up.time_out * 1000)));
+  message.add("P-Level", std::to_string(set_up.rung));
+  message.body = set_up.description;
+  Out &out = out_[set_up.session];
+  out.link = link;
+  out.sent = now();
+  link->set_ups.push_back(set_up.session);
+  out.timer = std::make_unique<asio::steady_timer>(io_, span(set_up.time_out));
+  out.timer->async_wait(
+      [this, session = set_up.session, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+        if (error || alive.expired()) return;
+        auto it = out_.find(session);
+        if (it == out_.end()) return;
+        auto silent = it->second.link.lock();
+        double sent = it->second.sent;
+        bool left = silent && silent->state == State::open;
+        give_up(session);
+        // A connection that has brought nothing since may be of no more use.
+        if (left && silent->heard_at <= sent) retire(silent);
+        events_.set_up_ended(session, left ? End::timed_out : End::not_up, nullptr, now() - sent);
+      });
+  say(link, set_up.session, rtsp::write(message));
+}
+
+void Peer::give_up(std::uint64_t session) {
+  auto it = out_.find(session);
+  if (it == out_.end()) return;
+  ++counters_.given_up;
+  given_up_[given_up_at_++ % given_up_.size()] = session;
+  auto link = it->second.link.lock();
+  out_.erase(it);
+  if (!link || link->state == State::closed) return;
+  std::erase(link->set_ups, session);
+  if (link->state == State::connecting) { // it never left
+    std::erase_if(link->waiting, [&](const auto &one) { return one.first == session; });
+    return;
+  }
+  say(link, session, rtsp::write(request("TEARDOWN", kAnyAddress, "2", session)));
+}
+
+void Peer::release(std::uint64_t session, int cause) {
+  Message message = request("TEARDOWN", kAnyAddress, "2", session);
+  message.add("Reason", "cause=" + std::to_string(cause));
+  if (auto link = choose(false)) say(link, session, rtsp::write(message));
+}
+
+void Peer::step(std::uint64_t session, int rung) {
+  Message message = request("SET_PARAMETER", kAnyAddress, "4", session);
+  message.add("P-Level", std::to_string(rung));
+  if (auto link = choose(false)) say(link, session, rtsp::write(message));
+}
+
+void Peer::probe() {
+  auto fail = [&](End how) {
+    asio::post(io_, [this, how, alive = std::weak_ptr<bool>(alive_)] {
+      if (!alive.expired()) events_.probed(how, nullptr);
+    });
+  };
+  if (probe_) return; // one at a time: its answer serves
+  auto link = choose(false);
+  if (!link) return fail(End::not_up);
+  probe_ = next_probe_ += 2;
+  probe_timer_.expires_after(span(times_.probe));
+  probe_timer_.async_wait(
+      [this, session = probe_, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+        if (error || alive.expired() || probe_ != session) return;
+        probe_ = 0;
+        events_.probed(End::timed_out, nullptr);
+      });
+  say(link, probe_, rtsp::write(request("OPTIONS", "rtsp://media/load", "3", probe_)));
+}
+
+void Peer::touch() {
+  if (std::ranges::none_of(links_, [](const auto &link) { return !link->retired; })) connect();
+}
+
+void Peer::ask() {
+  if (std::ranges::none_of(links_, [](const auto &link) { return link->state == State::connecting; }))
+    connect();
+}
+
+void Peer::close() {
+  while (!links_.empty()) end(links_.front(), End::closed);
+}
+
+// No new set-ups on it; it goes once those on it have ended, a moment later.
+void Peer::retire(const std::shared_ptr<Link> &link) {
+  link->retired = true;
+  link->retired_at = now();
+}
+
+void Peer::end(const std::shared_ptr<Link> &link, End how) {
+  if (link->state == State::closed) return;
+  become(*link, State::closed);
+  links_.remove(link);
+  link->timer.cancel();
+  asio::error_code ignored;
+  link->socket.close(ignored);
+  if (how == End::refused_up) ++counters_.refused;
+  if (how == End::not_up) ++counters_.not_up;
+  if (how == End::reset) ++counters_.resets;
+  if (how == End::unreadable) ++counters_.unreadable;
+  std::weak_ptr<bool> alive = alive_;
+  auto set_ups = std::exchange(link->set_ups, {});
+  for (std::uint64_t session : set_ups) {
+    set_up_over(session, how, nullptr);
+    if (alive.expired()) return;
+  }
+  events_.down(how, open() == 0);
+}
+
+// Messages that stay half, connections that are done with, and more idle ones than are of use.
+void Peer::look() {
+  look_timer_.expires_after(span(kLookEvery));
+  look_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (error || alive.expired()) return;
+    auto all = std::vector(links_.begin(), links_.end());
+    for (auto &link : all) {
+      double age = now() - link->used_at;
+      if (link->state == State::open && link->partial_since >= 0 &&
+          now() - link->partial_since > times_.whole)
+        end(link, End::unreadable);
+      else if (link->retired && link->set_ups.empty() && now() - link->retired_at > kRetiredStays)
+        end(link, End::closed);
+      else if (link->state == State::open && link->set_ups.empty() && age > times_.idle * 0.9)
+        end(link, End::closed);
+      if (alive.expired()) return;
+    }
+    look();
+  });
+}
+
+} // namespace snowshore::rtsp
--- /dev/null
+++ b/src/rtsp/peer.h
@@ -0,0 +1,115 @@
+// What the front says to one server and hears from it, over a few kept connections: set-ups, releases, rungs,
+// tests. It keeps set-ups until their end, chooses a connection for each, and reports ends and facts; what an
+// end means for a play, and whether the server still lives, is judged by others. One executor; Events come
+// after the call that caused them, never during it. Times are seconds.
+#pragma once
+#include "rtsp/message.h"
+
+#include <asio.hpp>
+
+#include <array>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace snowshore::rtsp {
+
+struct Times {
+  double connect = 0.25; // a connection not up by then has failed
+  double whole = 0.25;   // a message begun and not whole by then can't be read
+  double idle = 30;      // the other side closes idle connections after this
+  double probe = 0.25;
+};
+
+struct Limits {
+  std::size_t connections = 4;    // to one server
+  std::size_t set_ups = 32;       // open on one connection
+  std::size_t unsent = 64 * 1024; // bytes that a connection may hold unwritten
+};
+
+enum class End { answered, refused_up, not_up, closed, reset, unreadable, timed_out };
+inline constexpr const char *kEndNames[] = {"answered", "refused",    "not_up",   "closed",
+                                            "reset",    "unreadable", "timed_out"};
+
+struct SetUp {
+  std::uint64_t session = 0;
+  std::string_view title, tier, description; // checked to hold nothing that the head could not
+  int rung = 0;
+  double time_out = 0;
+};
+
+struct PeerCounters {
+  std::uint64_t connects = 0, refused = 0, not_up = 0, resets = 0, unreadable = 0, set_ups = 0, answers = 0,
+                given_up = 0, late = 0, strangers = 0, no_room = 0;
+  void add(const PeerCounters &o);
+};
+
+class Peer {
+ public:
+  struct Events {
+    // Of a set-up, once: how it ended; the message where it was answered.
+    std::function<void(std::uint64_t session, End end, const Message *message, double took)> set_up_ended;
+    std::function<void(std::uint64_t session, const Message &request)>
+        request; // a note or a release of the server's
+    std::function<void(End end, const Message *message)> probed;
+    std::function<void()> heard, up; // any bytes; a connection came up
+    std::function<void(End end, bool last)>
+        down; // a connection ended or did not come up; last: none is open now
+    std::function<bool(std::uint64_t session)> stands; // does this session stand with us at this server?
+  };
+  Peer(asio::io_context &io, asio::ip::tcp::endpoint at, const Times &times, const Limits &limits,
+       PeerCounters &counters, std::uint64_t seed, Events events);
+  ~Peer();
+  const asio::ip::tcp::endpoint &address() const { return at_; }
+  std::size_t open() const; // connections that are up
+  std::size_t connections() const { return links_.size(); }
+
+  void set_up(const SetUp &set_up);
+  void give_up(std::uint64_t session); // told to the server; no set_up_ended comes for it any more
+  void release(std::uint64_t session, int cause);
+  void step(std::uint64_t session, int rung);
+  void probe();
+  void touch(); // makes sure that a connection is up or coming up
+  void ask();   // opens one more connection: does the machine still answer?
+  void close(); // all; set-ups that are out end as closed
+
+ private:
+  struct Link;
+  struct Out {
+    std::weak_ptr<Link> link;
+    std::unique_ptr<asio::steady_timer> timer;
+    double sent = 0;
+  };
+  enum class State { connecting, open, closed };
+  void become(Link &link, State next);
+  std::shared_ptr<Link> choose(bool for_set_up);
+  std::shared_ptr<Link> connect();
+  void say(const std::shared_ptr<Link> &link, std::uint64_t session, std::string text);
+  void write(const std::shared_ptr<Link> &link);
+  void read(const std::shared_ptr<Link> &link);
+  void on(const std::shared_ptr<Link> &link, const Message &message);
+  void end(const std::shared_ptr<Link> &link, End how);
+  void set_up_over(std::uint64_t session, End how, const Message *message);
+  void retire(const std::shared_ptr<Link> &link);
+  void look();
+  double now() const;
+
+  asio::io_context &io_;
+  asio::ip::tcp::endpoint at_;
+  const Times &times_;
+  const Limits &limits_;
+  PeerCounters &counters_;
+  std::uint64_t next_probe_;
+  Events events_;
+  std::list<std::shared_ptr<Link>> links_;
+  std::unordered_map<std::uint64_t, Out> out_;
+  std::array<std::uint64_t, 64> given_up_{}; // the last ones: their late answers are released
+  std::size_t given_up_at_ = 0;
+  std::uint64_t probe_ = 0; // the session of the test that is out, 0: none
+  asio::steady_timer probe_timer_, look_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace snowshore::rtsp
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -1,5 +1,6 @@
 #include "wirehost/host.h"
 #include "decision/names.h"
+#include "given/translate.h"
 
 #include <algorithm>
 
@@ -7,73 +8,6 @@
 
 namespace {
 
-struct Name {
-  std::string_view wire, plain;
-};
-
-// What the wire calls a setting and what the module calls it; names not listed pass under the wire's own.
-constexpr Name kSettingNames[] = {
-    {"group_size", given::kFronts},
-    {"index", given::kFrontIndex},
-    {"my_zone", given::kHall},
-    {"areas", given::kHalls},
-    {"skus", given::kKinds},
-    {"classes.count", given::kProducts},
-    {"discovery", given::kListMode},
-    {"over_share_worth", given::kImportanceOverShare},
-    {"weights", given::kWeightMeaning},
-    {"family_info.cells", given::kCells},
-    {"family_info.class_floor", given::kProductFloors},
-    {"family_info.class_top", given::kProductTops},
-    {"family_info.class_seats", given::kProductSeats},
-    {"family_info.rate_factor", given::kProductRateFactors},
-    {"family_info.is_live", given::kProductLive},
-    {"family_info.full_from", given::kServerFullFrom},
-    {"family_info.join_adds", given::kSharedViewerAdds},
-    {"family_info.kind_slots", given::kKindPlaces},
-    {"family_info.links_kb", given::kLinksInAll},
-    {"family_info.groups", given::kRacks},
-    {"family_info.ladder_kb", given::kRungRates},
-    {"family_info.worth_by_rung", given::kRungImportance},
-    {"family_info.seen_after", given::kNoteDelay},
-    {"family_info.reports_every", given::kLinkNoteInterval},
-    {"family_info.shortfall_cost", given::kShortfallCost},
-    {"family_info.switch_cost_s", given::kRungStepCost},
-    {"family_info.rack_link_kb", given::kRackUplink},
-    {"family_info.link_unit_kb", given::kLinkPerWeight},
-    {"limits.attempts_cap", given::kAllocationsPerPlay},
-    {"limits.cancel", given::kMayRecall},
-    {"limits.probes", given::kMayProbe},
-    {"limits.retry_after", given::kMayAdviseReturn},
-    {"limits.max_retry_after", given::kLongestRetryAfter},
-    {"prices.moves", given::kMovePrice},
-    {"prices.probe", given::kProbePrice},
-    {"prices.cross_zone", given::kCrossHallPrice},
-    {"prices.late_fail", given::kLateFailurePrice},
-    {"report.how", given::kLoadComesWith},
-    {"report.names", given::kLoadFields},
-    {"rules.cold", given::kWarmUp},
-    {"rules.cold_from", given::kColdShare},
-    {"rules.fall_multiple", given::kFallMultiple},
-    {"rules.tip_after", given::kFallSpan},
-    {"rules.stop_sending_within", given::kDrainGrace},
-    {"rules.repeat_ratio", given::kFurtherShare},
-    {"rules.free_resends", given::kFurtherFree},
-    {"rules.budget_span", given::kFurtherSpan},
-    {"rules.answer_slack", given::kAnswerSlack},
-};
-
-constexpr Name kProductNames[] = {
-    {"on_time", given::kFirstFrameTarget},
-    {"deadline", given::kTimeLimit},
-    {"worth", given::kImportance},
-    {"effect", given::kSetUp},
-    {"name", given::kName},
-};
-
-constexpr Name kLoadNames[] = {
-    {"active", given::kStreams}, {"cpu", given::kLinkShare}, {"x0", given::kLink}, {"x1", given::kUplink}};
-
 constexpr std::pair<std::string_view, Outcome> kOutcomes[] = {
     {"done", Outcome::done},
     {"err", Outcome::error},
@@ -85,23 +19,6 @@
     {"skipped", Outcome::skipped},
 };
 
-std::string plain_name(std::span<const Name> names, std::string_view wire) {
-  for (const Name &name : names) {
-    if (name.wire == wire) return std::string(name.plain);
-  }
-  return std::string(wire);
-}
-
-// Calls f with each part of a list that a mark sets apart.
-template <class F> void each_part(std::string_view list, char mark, F f) {
-  while (!list.empty()) {
-    std::size_t at = list.find(mark);
-    f(list.substr(0, at));
-    if (at == std::string_view::npos) return;
-    list.remove_prefix(at + 1);
-  }
-}
-
 Outcome outcome_of(const WireLine &line) {
   std::string_view word = line.text("disposition");
   for (const auto &[name, outcome] : kOutcomes) {
@@ -125,32 +42,11 @@
 } // namespace
 
 Given plain_settings(const WireLine &line) {
-  Given given;
-  for (const auto &[name, value] : line.fields()) {
-    if (name == "i" || name == "random_seed") continue;
-    std::string_view rest = name;
-    std::string plain;
-    if (name.starts_with("classes.") && name != "classes.count") {
-      rest.remove_prefix(8);
-      std::size_t dot = rest.find('.');
-      if (dot == std::string_view::npos) continue;
-      plain =
-          "product." + std::string(rest.substr(0, dot + 1)) + plain_name(kProductNames, rest.substr(dot + 1));
-    } else {
-      plain = plain_name(kSettingNames, name);
-    }
-    if (name == "report.names") {
-      std::string words;
-      each_part(value, ',', [&](std::string_view word) {
-        if (!words.empty()) words += ',';
-        words += plain_name(kLoadNames, word);
-      });
-      given[plain] = words;
-    } else {
-      given[plain] = std::string(value);
-    }
+  std::vector<given::Field> fields;
+  for (const auto &field : line.fields()) {
+    if (field.first != "i" && field.first != "random_seed") fields.push_back(field);
   }
-  return given;
+  return given::translate(fields);
 }
 
 Instance::Instance(std::string number, const WireLine &line, double now, std::string &out)
@@ -299,17 +195,8 @@
 
 LoadReport Instance::load_of(const WireLine &line) const {
   LoadReport report;
-  each_part(line.find("feedback").value_or(""), ',', [&](std::string_view pair) {
-    std::size_t colon = pair.find(':');
-    if (colon == std::string_view::npos)
-      throw WireError("feedback holds '" + std::string(pair) + "', no name:value pair");
-    std::string_view name = pair.substr(0, colon), value = pair.substr(colon + 1);
-    if (value.empty()) return;
-    if (name == "active") report.streams = read_number(value, name);
-    if (name == "cpu") report.link_share = read_number(value, name);
-    if (name == "x0") report.link = read_number(value, name);
-    if (name == "x1") report.uplink = read_number(value, name);
-  });
+  std::string_view bad = given::read_load(line.find("feedback").value_or(""), ',', report);
+  if (!bad.empty()) throw WireError("feedback holds '" + std::string(bad) + "', no name:value pair");
   return report;
 }
 
@@ -431,10 +318,10 @@
     lists_[list_].clear();
   } else if (name == "OPEN_INSTANCE") {
     Held held;
-    each_part(line_.find("areas").value_or(""), ',',
-              [&](std::string_view hall) { held.halls.index_of(std::string(hall)); });
-    each_part(line_.find("skus").value_or(""), ',',
-              [&](std::string_view kind) { held.kinds.index_of(std::string(kind)); });
+    given::each_part(line_.find("areas").value_or(""), ',',
+                     [&](std::string_view hall) { held.halls.index_of(std::string(hall)); });
+    given::each_part(line_.find("skus").value_or(""), ',',
+                     [&](std::string_view kind) { held.kinds.index_of(std::string(kind)); });
     held.instance = std::make_unique<Instance>(std::string(line_.text("i")), line_, now_, reply_);
     instances_[line_.small("i")] = std::move(held);
   } else if (name == "TEARDOWN") {
