--- a/src/jsonlines/message.h
+++ b/src/jsonlines/message.h
@@ -1,6 +1,8 @@
 // One message of the platform's viewers: a line that holds one JSON object {"verb","tag","opts","rc","blob"}.
 // A plain value, read and written without sockets; what is read is bounded and checked, nothing is guessed.
 #pragma once
+#include "given/hex_id.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,9 +14,8 @@
 
 inline constexpr std::size_t kMaxLine = 16 * 1024; // the protocol's bound on a message
 
-// 16 hex digits, as ids and titles are written: lower case, nothing else.
-std::optional<std::uint64_t> read_hex16(std::string_view text);
-std::string write_hex16(std::uint64_t value);
+using given::read_hex16;
+using given::write_hex16;
 
 struct Message {
   std::string verb;
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -1,4 +1,5 @@
 #include "rtsp/peer.h"
+#include "given/hex_id.h"
 #include "telemetry/loop_clock.h"
 
 #include <algorithm>
@@ -15,22 +16,11 @@
     1; // a retired connection may still bring a late answer that must be released
 constexpr double kLookEvery = 0.1;
 
-std::string hex(std::uint64_t value) {
-  std::string out(16, '0');
-  for (std::size_t i = 16; i-- > 0; value >>= 4) out[i] = "0123456789abcdef"[value & 15];
-  return out;
-}
+using given::write_hex16;
 
 std::optional<std::uint64_t> session_of(const Message &message) {
   auto text = message.find("Session");
-  if (!text || text->size() != 16) return std::nullopt;
-  std::uint64_t value = 0;
-  for (char c : *text) {
-    int digit = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
-    if (digit < 0) return std::nullopt;
-    value = value << 4 | static_cast<std::uint64_t>(digit);
-  }
-  return value;
+  return text ? given::read_hex16(*text) : std::nullopt;
 }
 
 Message request(const char *method, std::string uri, const char *number, std::uint64_t session) {
@@ -38,7 +28,7 @@
   message.method = method;
   message.uri = std::move(uri);
   message.add("CSeq", number);
-  message.add("Session", hex(session));
+  message.add("Session", write_hex16(session));
   return message;
 }
 
@@ -188,7 +178,7 @@
       Message heard;
       heard.status = 200;
       if (auto number = message.find("CSeq")) heard.add("CSeq", *number);
-      heard.add("Session", hex(*session));
+      heard.add("Session", write_hex16(*session));
       say(link, *session, rtsp::write(heard));
       if (out_.contains(*session)) return set_up_over(*session, End::answered, &message);
     }
