--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -16,10 +16,10 @@
 
 constexpr double kGuardEvery = 0.01;
 
-std::uint64_t hash53(const std::string &text) { return XXH64(text.data(), text.size(), 0) >> 11; }
-
 } // namespace
 
+std::uint64_t hash53(const std::string &text) { return XXH64(text.data(), text.size(), 0) >> 11; }
+
 struct Core::Counters {
   telemetry::Metrics &m;
   explicit Counters(telemetry::Metrics &metrics) : m(metrics) {
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -40,6 +40,9 @@
   bool load_in_answers = true; // what a set-up's answer says of loads is told to the module as notes
 };
 
+// Of what has no number of its own (an id, a viewer's name); the same at every front.
+std::uint64_t hash53(const std::string &text);
+
 // A play as a door holds it over time: its index may be another's by then.
 struct PlayRef {
   int index = -1;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -2,8 +2,6 @@
 #include "decision/names.h"
 #include "hints/hints.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -31,8 +29,6 @@
   return {buffer, std::to_chars(buffer, buffer + sizeof buffer, value, std::chars_format::fixed, 3).ptr};
 }
 
-std::uint64_t viewer_key(const std::string &text) { return XXH64(text.data(), text.size(), 0) >> 11; }
-
 } // namespace
 
 CoreTerms core_terms(const FrontRecord &record) {
@@ -162,7 +158,7 @@
     log_.debug("hints_malformed", {{"title", title}, {"keys", hints.malformed}});
   }
   if (hints.unknown) counters_->hints_unknown.Increment(hints.unknown);
-  terms.viewer = viewer_key(hints.session.value_or(peer));
+  terms.viewer = hash53(hints.session.value_or(peer));
   terms.best_rung = static_cast<int>(record_.rung_rates.size()) - 1;
   // tb is the highest bitrate that the player can use, in kbps; rates here are kB a second.
   while (hints.top_kbps && terms.best_rung > 0 &&
@@ -318,7 +314,7 @@
   auto place = static_cast<std::size_t>(server);
   if (place >= channels_.size()) channels_.resize(place + 1);
   if (channels_[place]) return channels_[place]->set_address(entry.address);
-  std::uint64_t seed = core_.seed() ^ XXH64(entry.id.data(), entry.id.size(), 0);
+  std::uint64_t seed = core_.seed() ^ hash53(entry.id);
   channels_[place] = std::make_unique<Channel>(
       io_, client_, server, entry.address, identity_, report_times_, seed,
       [this] { return core_.clock().now(); }, channel_events_);
--- a/src/feed/client.cpp
+++ b/src/feed/client.cpp
@@ -8,6 +8,7 @@
 namespace snowshore::feed {
 
 using telemetry::span;
+using telemetry::steady_now;
 
 namespace {
 
@@ -30,14 +31,11 @@
 
 void Client::become(State next) { state_ = next; } // the one place where it changes
 
-double Client::now() const {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-double Client::silent_for() const { return now() - heard_at_; }
+double Client::silent_for() const { return steady_now() - heard_at_; }
 
 void Client::start(Events events) {
   events_ = std::move(events);
-  heard_at_ = now();
+  heard_at_ = steady_now();
   asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired()) return;
     events_.list(list_.publish());
@@ -69,7 +67,7 @@
   reader_.clear();
   gap_ = false;
   become(State::connecting);
-  connecting_at_ = now();
+  connecting_at_ = steady_now();
   socket_.async_connect(at_,
                         [this, turn = turn_, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
                           if (alive.expired() || turn != turn_) return;
@@ -78,7 +76,7 @@
                             return pause();
                           }
                           become(State::following);
-                          heard_at_ = now();
+                          heard_at_ = steady_now();
                           for (std::size_t i = 0; i < 8; ++i)
                             hello_[i] = static_cast<unsigned char>(list_.number() >> (56 - 8 * i));
                           asio::async_write(socket_, asio::buffer(hello_),
@@ -95,7 +93,7 @@
                                                      asio::error_code error, std::size_t size) {
     if (alive.expired() || turn != turn_) return;
     if (error) return broken("closed");
-    heard_at_ = now();
+    heard_at_ = steady_now();
     changed_ = false;
     bool readable =
         reader_.take(std::string_view(buffer_.data(), size), [&](const Event &event) { apply(event); });
@@ -160,10 +158,10 @@
   watch_timer_.expires_after(span(kWatchEvery));
   watch_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
-    if (state_ == State::following && now() - heard_at_ > kSilence) {
+    if (state_ == State::following && steady_now() - heard_at_ > kSilence) {
       ++counters_.silences;
       broken("silent");
-    } else if (state_ == State::connecting && now() - connecting_at_ > kConnectTime) {
+    } else if (state_ == State::connecting && steady_now() - connecting_at_ > kConnectTime) {
       ++counters_.refused;
       pause();
     }
--- a/src/feed/client.h
+++ b/src/feed/client.h
@@ -36,7 +36,6 @@
   void pause();
   void apply(const Event &event);
   void watch();
-  double now() const;
 
   asio::io_context &io_;
   asio::ip::tcp::endpoint at_;
--- a/src/feed/frames.cpp
+++ b/src/feed/frames.cpp
@@ -1,4 +1,5 @@
 #include "feed/frames.h"
+#include "site/front_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -116,14 +117,11 @@
     if (!id) throw bad(at + ".uid", "s- and 8 hex digits are due");
     one.number = *id;
     std::string address = text(target, "endpoint", at);
-    std::size_t colon = address.rfind(':');
-    asio::error_code error;
-    auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    unsigned port = 0;
-    if (colon != std::string::npos)
-      std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (error || port == 0 || port > 65535) throw bad(at + ".endpoint", "an address and port are due");
-    one.address = {ip, static_cast<unsigned short>(port)};
+    try {
+      one.address = site::parse_endpoint(address);
+    } catch (const std::invalid_argument &) {
+    }
+    if (one.address.port() == 0) throw bad(at + ".endpoint", "an address and port are due");
     one.hall = text(target, "az", at), one.kind = text(target, "model", at);
     one.cell = static_cast<int>(number(target, "pod_group", at));
     one.weight = number(target, "capacity_hint", at);
--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -1,10 +1,13 @@
 #include "jsonlines/server.h"
+#include "telemetry/loop_clock.h"
 
 #include <algorithm>
 #include <chrono>
 
 namespace snowshore::jsonlines {
 
+using telemetry::steady_now;
+
 namespace {
 
 constexpr auto kAcceptPause = std::chrono::milliseconds(20); // without a free descriptor or connection
@@ -61,10 +64,6 @@
   acceptor_.close(ignored);
 }
 
-double Server::now() const {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 void Server::become(Connection &one, State next) { one.state = next; } // the one place where it changes
 
 // Accepts all that wait, in bounded turns, so that a crowd does not hold up the others.
@@ -109,7 +108,7 @@
   socket.non_blocking(true, ignored);
   auto one = std::make_shared<Connection>(std::move(socket));
   one->id = next_++;
-  one->waits_since = one->heard_at = now();
+  one->waits_since = one->heard_at = steady_now();
   all_[one->id] = one;
   read(one);
 }
@@ -118,7 +117,7 @@
 // unheard first. One that was heard of just now is let be: a request may be on its way on it.
 bool Server::make_room() {
   Connection *least = nullptr;
-  double settled = now() - kSettled;
+  double settled = steady_now() - kSettled;
   for (auto &[id, one] : all_) {
     if (one->held > 0 || one->heard_at > settled) continue;
     if (!least || std::pair(one->vouched, one->heard_at) < std::pair(least->vouched, least->heard_at))
@@ -151,7 +150,7 @@
     // line may lie in the reader, not in bytes: what is used is counted from the bytes' line ends
     used = bytes.find('\n', used) + 1;
     ++counters_.lines;
-    one->heard_at = now();
+    one->heard_at = steady_now();
     if (one->state == State::silent) become(*one, State::talking);
     one->waits_since = -1;
     events_.line(one->id, line);
@@ -172,7 +171,7 @@
     });
     return;
   }
-  if (one->waits_since < 0 && one->lines.partial()) one->waits_since = now();
+  if (one->waits_since < 0 && one->lines.partial()) one->waits_since = steady_now();
   read(one);
 }
 
@@ -238,7 +237,7 @@
   if (it == all_.end() || it->second->state == State::closed) return;
   auto one = it->second;
   become(*one, State::closing);
-  one->waits_since = now();
+  one->waits_since = steady_now();
   if (one->sending.empty()) cut_soon(id);
 }
 
@@ -270,7 +269,7 @@
   look_timer_.expires_after(kLookEvery);
   look_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
-    double due = now() - limits_.first_line;
+    double due = steady_now() - limits_.first_line;
     std::vector<Id> silent;
     for (auto &[id, one] : all_) {
       if (one->waits_since >= 0 && one->waits_since < due && one->held == 0) silent.push_back(id);
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -65,7 +65,6 @@
   void write(const std::shared_ptr<Connection> &one);
   void end(Connection &one, const char *why);
   void look(); // at those who say nothing whole
-  double now() const;
 
   asio::io_context &io_;
   Limits limits_;
--- a/src/platform/boot.cpp
+++ b/src/platform/boot.cpp
@@ -1,6 +1,7 @@
 #include "platform/boot.h"
 #include "decision/names.h"
 #include "given/translate.h"
+#include "site/front_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -40,16 +41,11 @@
 }
 
 asio::ip::tcp::endpoint endpoint(const std::string &value, const std::string &path) {
-  std::size_t colon = value.rfind(':');
-  unsigned port = 0;
-  if (colon != std::string::npos) {
-    auto [end, error] = std::from_chars(value.data() + colon + 1, value.data() + value.size(), port);
-    if (error != std::errc() || end != value.data() + value.size()) port = 70000;
+  try {
+    return site::parse_endpoint(value);
+  } catch (const std::invalid_argument &) {
+    throw bad(path, "an address and port are due");
   }
-  asio::error_code error;
-  auto address = asio::ip::make_address(value.substr(0, colon), error);
-  if (colon == std::string::npos || error || port > 65535) throw bad(path, "an address and port are due");
-  return {address, static_cast<unsigned short>(port)};
 }
 
 std::string plain(const Json &value) {
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -9,6 +9,7 @@
 namespace snowshore::rtsp {
 
 using telemetry::span;
+using telemetry::steady_now;
 
 namespace {
 
@@ -71,10 +72,6 @@
   out_.clear();
 }
 
-double Peer::now() const {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
-}
-
 void Peer::become(Link &link, State next) { link.state = next; } // the one place where it changes
 
 std::size_t Peer::open() const {
@@ -89,7 +86,8 @@
   for (auto &link : links_) {
     if (link->state == State::closed || link->retired) continue;
     if (for_set_up && link->set_ups.size() >= limits_.set_ups) continue;
-    if (link->state == State::open && link->set_ups.empty() && now() - link->used_at > times_.idle * 0.8)
+    if (link->state == State::open && link->set_ups.empty() &&
+        steady_now() - link->used_at > times_.idle * 0.8)
       continue; // the other side may be closing it
     if (!best || rank(*link) < rank(*best)) best = link;
   }
@@ -106,7 +104,7 @@
   auto link = std::make_shared<Link>(io_);
   links_.push_back(link);
   ++counters_.connects;
-  link->used_at = now();
+  link->used_at = steady_now();
   std::weak_ptr<bool> alive = alive_;
   link->timer.expires_after(span(times_.connect));
   link->timer.async_wait([this, link, alive](asio::error_code error) {
@@ -119,7 +117,7 @@
     asio::error_code ignored;
     link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     become(*link, State::open);
-    link->used_at = now();
+    link->used_at = steady_now();
     for (auto &[session, text] : std::exchange(link->waiting, {})) link->unsent += text;
     if (!link->unsent.empty()) write(link);
     read(link);
@@ -129,7 +127,7 @@
 }
 
 void Peer::say(const std::shared_ptr<Link> &link, std::uint64_t session, std::string text) {
-  link->used_at = now();
+  link->used_at = steady_now();
   if (link->state == State::connecting) {
     link->waiting.emplace_back(session, std::move(text));
     return;
@@ -158,7 +156,7 @@
                                                                asio::error_code error, std::size_t size) {
     if (alive.expired() || link->state != State::open) return;
     if (error) return end(link, error == asio::error::eof ? End::closed : End::reset);
-    link->used_at = link->heard_at = now();
+    link->used_at = link->heard_at = steady_now();
     events_.heard();
     bool readable =
         link->reader.take(std::string_view(link->buffer.data(), size), [&](const Message &message) {
@@ -169,7 +167,7 @@
     if (!link->reader.partial())
       link->partial_since = -1;
     else if (link->partial_since < 0)
-      link->partial_since = now();
+      link->partial_since = steady_now();
     read(link);
   });
 }
@@ -216,7 +214,7 @@
 void Peer::set_up_over(std::uint64_t session, End how, const Message *message) {
   auto it = out_.find(session);
   if (it == out_.end()) return;
-  double took = now() - it->second.sent;
+  double took = steady_now() - it->second.sent;
   if (auto link = it->second.link.lock()) std::erase(link->set_ups, session);
   out_.erase(it);
   events_.set_up_ended(session, how, message, took);
@@ -241,7 +239,7 @@
   message.body = set_up.description;
   Out &out = out_[set_up.session];
   out.link = link;
-  out.sent = now();
+  out.sent = steady_now();
   link->set_ups.push_back(set_up.session);
   out.timer = std::make_unique<asio::steady_timer>(io_, span(set_up.time_out));
   out.timer->async_wait(
@@ -255,7 +253,7 @@
         give_up(session);
         // A connection that has brought nothing since may be of no more use.
         if (left && silent->heard_at <= sent) retire(silent);
-        events_.set_up_ended(session, left ? End::timed_out : End::not_up, nullptr, now() - sent);
+        events_.set_up_ended(session, left ? End::timed_out : End::not_up, nullptr, steady_now() - sent);
       });
   say(link, set_up.session, rtsp::write(message));
 }
@@ -326,7 +324,7 @@
 // No new set-ups on it; it goes once those on it have ended, a moment later.
 void Peer::retire(const std::shared_ptr<Link> &link) {
   link->retired = true;
-  link->retired_at = now();
+  link->retired_at = steady_now();
 }
 
 void Peer::end(const std::shared_ptr<Link> &link, End how) {
@@ -336,10 +334,6 @@
   link->timer.cancel();
   asio::error_code ignored;
   link->socket.close(ignored);
-  if (how == End::refused_up) ++counters_.refused;
-  if (how == End::not_up) ++counters_.not_up;
-  if (how == End::reset) ++counters_.resets;
-  if (how == End::unreadable) ++counters_.unreadable;
   std::weak_ptr<bool> alive = alive_;
   auto set_ups = std::exchange(link->set_ups, {});
   for (std::uint64_t session : set_ups) {
@@ -356,11 +350,11 @@
     if (error || alive.expired()) return;
     auto all = std::vector(links_.begin(), links_.end());
     for (auto &link : all) {
-      double age = now() - link->used_at;
+      double age = steady_now() - link->used_at;
       if (link->state == State::open && link->partial_since >= 0 &&
-          now() - link->partial_since > times_.whole)
+          steady_now() - link->partial_since > times_.whole)
         end(link, End::unreadable);
-      else if (link->retired && link->set_ups.empty() && now() - link->retired_at > kRetiredStays)
+      else if (link->retired && link->set_ups.empty() && steady_now() - link->retired_at > kRetiredStays)
         end(link, End::closed);
       else if (link->state == State::open && link->set_ups.empty() && age > times_.idle * 0.9)
         end(link, End::closed);
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -41,8 +41,7 @@
 };
 
 struct PeerCounters {
-  std::uint64_t connects = 0, refused = 0, not_up = 0, resets = 0, unreadable = 0, set_ups = 0, answers = 0,
-                given_up = 0, late = 0, strangers = 0, no_room = 0;
+  std::uint64_t connects = 0, set_ups = 0, answers = 0, given_up = 0, late = 0, strangers = 0, no_room = 0;
 };
 
 class Peer {
@@ -95,7 +94,6 @@
   void set_up_over(std::uint64_t session, End how, const Message *message);
   void retire(const std::shared_ptr<Link> &link);
   void look();
-  double now() const;
 
   asio::io_context &io_;
   asio::ip::tcp::endpoint at_;
--- a/src/telemetry/loop_clock.h
+++ b/src/telemetry/loop_clock.h
@@ -13,6 +13,11 @@
       std::chrono::duration<double>(std::max(0.0, seconds)));
 }
 
+// Seconds of the steady clock, for what only measures spans.
+inline double steady_now() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
 class LoopClock {
  public:
   LoopClock()
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -1,5 +1,6 @@
 #include "wirehost/host.h"
 #include "decision/names.h"
+#include "given/hex_id.h"
 #include "given/translate.h"
 
 #include <algorithm>
@@ -28,15 +29,9 @@
 }
 
 std::uint64_t read_corr(std::string_view text) {
-  std::uint64_t value = 0;
-  bool right = text.size() == 16;
-  for (char c : text) {
-    int digit = c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
-    right = right && digit >= 0;
-    value = value << 4 | static_cast<std::uint64_t>(digit & 15);
-  }
-  if (!right) throw WireError("corr '" + std::string(text.substr(0, 40)) + "' is not 16 hex digits");
-  return value;
+  auto value = given::read_hex16(text);
+  if (!value) throw WireError("corr '" + std::string(text.substr(0, 40)) + "' is not 16 hex digits");
+  return *value;
 }
 
 } // namespace
--- a/src/wirehost/wire_codec.cpp
+++ b/src/wirehost/wire_codec.cpp
@@ -1,4 +1,5 @@
 #include "wirehost/wire_codec.h"
+#include "given/translate.h"
 
 #include <charconv>
 #include <cmath>
@@ -14,11 +15,9 @@
 } // namespace
 
 double read_number(std::string_view text, std::string_view what) {
-  double value = 0;
-  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
-    throw bad(what, text);
-  return value;
+  auto value = given::number_of(text);
+  if (!value) throw bad(what, text);
+  return *value;
 }
 
 std::uint64_t read_whole(std::string_view text, std::string_view what) {
