--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -124,7 +124,7 @@
   Link link;
   int rack = 0, out = 0;  // out: allocations without outcome or start
   std::vector<int> plays; // ours there
-  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, probed_at = -1e9;
+  double avoid_until = -1e9, cold_since = -1e9, last_sent = -1e9, answered_at = -1e9, probed_at = -1e9;
   double raised_at = -2e9, listed_at = 0; // the news it last stepped up on; when it was last seen listed
   int strikes = 0;
 };
@@ -215,6 +215,7 @@
     Server &server = servers_[at(play.server)];
     server.strikes = 0;
     server.avoid_until = now_;
+    see_answer(server);
     become(index, PlayState::playing);
   }
 
@@ -736,6 +737,8 @@
     bool known_cold = now_ - server.cold_since < warm_up_;
     double span = fall_span_, budget = cold_budget_ * places_of(server) / warm_up_;
     double quiet = now_ - server.last_sent;
+    bool first_is_out = server.answered_at < server.cold_since && server.last_sent >= server.cold_since;
+    if (known_cold && first_is_out) return false;
     if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
     if (budget < 1) return false;
     if (!known_cold) return quiet >= span * fronts_ / budget;
@@ -745,6 +748,14 @@
     return ours && now_ - beat * 2 * span < span && quiet >= span;
   }
 
+  // Guards against set-ups that arrive together: the first after a start waits for a new connection, which
+  // may come up late. It goes alone, and the pace counts from its answer or end. Harms where it is slow.
+  void see_answer(Server &server) {
+    if (server.answered_at < server.cold_since)
+      server.last_sent = std::max(server.last_sent, now_ - usual_set_up_);
+    server.answered_at = now_;
+  }
+
   // A front that came back has no memory: any server may be cold to it until it is seen to carry much.
   bool may_be_cold(const Server &server) const {
     return now_ - server.cold_since < warm_up_ ||
@@ -757,9 +768,10 @@
     if (lost || (outcome == Outcome::timed_out && play.state == PlayState::allocating)) {
       server.cold_since = now_; // whatever comes back may be cold
       if (now_ >= server.avoid_until) strike(server);
-    } else if (outcome == Outcome::busy) {
-      server.avoid_until = std::max(server.avoid_until, now_ + kFirstAvoid);
+      return;
     }
+    if (play.state != PlayState::playing) see_answer(server);
+    if (outcome == Outcome::busy) server.avoid_until = std::max(server.avoid_until, now_ + kFirstAvoid);
   }
 
   void strike(Server &server) {
