A front that came back counts a cold server's pace from its own start

Cause: the time of the last set-up is lost with the process. Where most fronts are killed at once, each that comes back sends to a server known to be cold again in the same turn or span as the process before it. Change: a front without hand-overs takes its start for the last set-up to servers known to be cold. Servers that are not known to be cold are untouched; on cold ones the wait is one spacing at most (one span where turns hold). The case on fleets also takes 1, 4 and 7 fronts now.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -737,6 +737,8 @@
     bool known_cold = now_ - server.cold_since < warm_up_;
     double span = fall_span_, budget = cold_budget_ * places_of(server) / warm_up_;
     double quiet = now_ - server.last_sent;
+    // One that came back may have sent until it went down.
+    if (known_cold && !handed_over_) quiet = std::min(quiet, now_ - opened_);
     bool first_is_out = server.answered_at < server.cold_since && server.last_sent >= server.cold_since;
     if (known_cold && first_is_out) return false;
     if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
--- a/tests/test_cold_fleet.cpp
+++ b/tests/test_cold_fleet.cpp
@@ -222,9 +222,10 @@
 }
 
 TEST_CASE("a cold server stands whatever the fleet's size, by parts and by turns, with late connections") {
-  for (int fronts : {20, 30, 300}) {
+  for (int fronts : {1, 4, 7, 20, 30, 300}) {
     for (double parts : {4.0, 2.0, 1.0, 0.5, 0.1}) {
       if (fronts == 300 && parts > 1) continue; // more than any server bears
+      if (fronts * parts < 1) continue;         // under one set-up a span: nothing is sent
       for (double late : {0.0, 0.3, 1.0}) {
         Fleet fleet = fleet_of(fronts, parts, fronts == 300 ? 12 : 30);
         fleet.late = late;
@@ -234,6 +235,16 @@
   }
 }
 
+TEST_CASE("a cold server stands when most fronts are killed and come back at once") {
+  for (int fronts : {20, 30, 300}) {
+    for (double parts : {1.0, 0.5, 0.1}) {
+      Fleet fleet = fleet_of(fronts, parts, 40);
+      fleet.restarted = 0.7, fleet.restart_after = 4, fleet.lasts = 6.5;
+      check(fleet);
+    }
+  }
+}
+
 TEST_CASE("a cold server stands on drawn fleets, budgets, traffic and delays") {
   for (unsigned seed = 1; seed <= 40; ++seed) {
     std::mt19937 random(seed);
