Fleet test: fronts not told of a start in place hear of an idle server and send to it

They had heard only of full servers and sent next to nothing, so the count of who was told was hardly tried.

--- a/tests/test_cold_fleet.cpp
+++ b/tests/test_cold_fleet.cpp
@@ -166,7 +166,7 @@
         LoadReport full, idle;
         full.link = 1.5, idle.link = 0.01;
         for (const ServerEntry &other : others) m.front->probe_answered(other.server, Outcome::done, full);
-        if (m.told) m.front->probe_answered(0, Outcome::done, idle);
+        if (m.told || fleet.in_place) m.front->probe_answered(0, Outcome::done, idle);
       }
       m.answer();
       if (now < kStart) continue;
