--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -12,7 +12,8 @@
 add_test(NAME snowshore_edge_tests COMMAND snowshore_edge_tests)
 
 add_executable(snowshore_platform_tests tests/test_main.cpp tests/rtsp/test_rtsp.cpp
-               tests/jsonlines/test_jsonlines.cpp tests/feed/test_feed.cpp tests/platform/test_platform.cpp)
+               tests/jsonlines/test_jsonlines.cpp tests/feed/test_feed.cpp tests/platform/test_platform.cpp
+               tests/platform/test_endings.cpp)
 target_include_directories(snowshore_platform_tests PRIVATE tests)
 target_link_libraries(snowshore_platform_tests PRIVATE snowshore_platform Catch2::Catch2)
 add_test(NAME snowshore_platform_tests COMMAND snowshore_platform_tests ~[slow])
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -164,6 +164,7 @@
   plays_.become(ref.index, PlayState::playing);
   terms.title = play.title;
   decide([&] { front_->play_handed_over(ref.index, at, terms); });
+  servers_door_.handed_over(ref.index);
   return ref;
 }
 
--- a/src/edge/doors.h
+++ b/src/edge/doors.h
@@ -41,9 +41,11 @@
   virtual ~ServersDoor() = default;
   virtual void set_up(int play, const Allocation &allocation) = 0; // one Core::set_up_ended is due for it
   virtual void withdraw(int play, std::string_view why) = 0; // the set-up that is out: nobody waits for it
-  virtual void step(int play, int rung) = 0;                 // of a play that stands
-  virtual void end(int play, std::string_view why) = 0;      // likewise
-  virtual void probe(int server) = 0;                        // one Core::probe_answered is due for it
+  // This play is in hand now and stands at its server; what the server said of it before may be told now.
+  virtual void handed_over(int play) = 0;
+  virtual void step(int play, int rung) = 0;            // of a play that stands
+  virtual void end(int play, std::string_view why) = 0; // likewise
+  virtual void probe(int server) = 0;                   // one Core::probe_answered is due for it
   virtual void listed(int server, const ListedServer &entry) = 0;
   virtual void forget_server(int server) = 0; // its index may be given again
 };
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -54,6 +54,7 @@
   void forget_play(int play) override;
   void set_up(int play, const Allocation &allocation) override;
   void withdraw(int play, std::string_view why) override;
+  void handed_over(int) override {} // nothing is handed over in this protocol
   void step(int play, int rung) override;
   void end(int play, std::string_view why) override;
   void probe(int server) override;
--- a/src/edge/serve.cpp
+++ b/src/edge/serve.cpp
@@ -1,6 +1,7 @@
 #include "edge/serve.h"
 
 #include <csignal>
+#include <utility>
 
 namespace snowshore::edge {
 
@@ -8,18 +9,26 @@
 constexpr int kTurnLimit = 256; // handlers of one turn, all under one clock reading
 }
 
-void serve(asio::io_context &io, telemetry::LoopClock &clock, telemetry::Log &log, Signals on) {
-  asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+asio::signal_set keep_signals(asio::io_context &io) {
+  std::signal(SIGPIPE, SIG_IGN);
+  return asio::signal_set(io, SIGTERM, SIGINT, SIGHUP);
+}
+
+void serve(asio::io_context &io, asio::signal_set &signals, telemetry::LoopClock &clock, telemetry::Log &log,
+           Signals on) {
+  bool draining = false;
   std::function<void()> wait = [&] {
     signals.async_wait([&](asio::error_code error, int signal) {
       if (error) return;
       if (signal != SIGHUP) {
-        log.info("draining", {{"signal", signal}});
-        on.drain([&] {
-          log.info("drained");
-          io.stop();
-        });
-        return;
+        if (!std::exchange(draining, true)) {
+          log.info("draining", {{"signal", signal}});
+          on.drain([&] {
+            log.info("drained");
+            io.stop();
+          });
+        }
+        return wait();
       }
       try {
         on.read_again();
--- a/src/edge/serve.h
+++ b/src/edge/serve.h
@@ -15,7 +15,12 @@
   std::function<void(std::function<void()> done)> drain; // done ends the process
 };
 
-// Returns once drained.
-void serve(asio::io_context &io, telemetry::LoopClock &clock, telemetry::Log &log, Signals on);
+// Made before anything that takes time: from then on signals are kept until serve() looks at them, and a
+// closed log or connection does not end the process.
+asio::signal_set keep_signals(asio::io_context &io);
+
+// Returns once drained. While draining, SIGHUP is still heard; another SIGTERM or SIGINT changes nothing.
+void serve(asio::io_context &io, asio::signal_set &signals, telemetry::LoopClock &clock, telemetry::Log &log,
+           Signals on);
 
 } // namespace snowshore::edge
--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -25,7 +25,7 @@
   std::string rest; // read, not yet its turn
   std::string unsent, sending;
   int held = 0;
-  bool vouched = false;
+  bool vouched = false, closes = false; // closes: when no request is open on it
   double waits_since = 0, heard_at = 0; // since when something whole is due from it (below 0: nothing is)
   explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
 };
@@ -58,10 +58,41 @@
   }
 }
 
+// A connection that the system has accepted may hold a whole request: the listener closes once none waits.
 void Server::stop_accepting() {
-  accepting_ = false;
+  if (!accepting_ || last_accepts_) return;
+  last_accepts_ = true;
   asio::error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.cancel(ignored);
+  accept_waiting();
+}
+
+bool Server::is_quiet() {
+  return !acceptor_.is_open() && std::ranges::none_of(all_, [](const auto &entry) {
+    Connection &one = *entry.second;
+    return unread(one) || !one.unsent.empty() || !one.sending.empty() ||
+           (one.state != State::closing && one.lines.partial());
+  });
+}
+
+std::size_t Server::unsent() const {
+  std::size_t sum = 0;
+  for (const auto &[id, one] : all_) sum += one->unsent.size() + one->sending.size();
+  return sum;
+}
+
+// A socket closed with bytes unread is reset, which may take an answer with it that the viewer has not read.
+void Server::finish() {
+  asio::error_code ignored;
+  for (auto &[id, one] : all_) {
+    become(*one, State::closing);
+    one->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+  }
+}
+
+bool Server::unread(Connection &one) {
+  asio::error_code failed;
+  return one.state != State::closing && (!one.rest.empty() || one.socket.available(failed) > 0);
 }
 
 void Server::become(Connection &one, State next) { one.state = next; } // the one place where it changes
@@ -69,31 +100,44 @@
 // Accepts all that wait, in bounded turns, so that a crowd does not hold up the others.
 void Server::accept() {
   if (!accepting_) return;
+  if (last_accepts_) return accept_waiting();
   acceptor_.async_wait(asio::socket_base::wait_read,
                        [this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-                         if (alive.expired() || !accepting_) return;
+                         if (alive.expired() || !accepting_ || last_accepts_) return;
                          if (error) return accept_later();
-                         for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
-                           if (all_.size() >= limits_.connections && !make_room()) {
-                             ++counters_.accept_pauses;
-                             return accept_later();
-                           }
-                           asio::error_code failed;
-                           asio::ip::tcp::socket socket(io_);
-                           acceptor_.accept(socket, failed);
-                           if (failed == asio::error::would_block || failed == asio::error::try_again) break;
-                           if (failed == asio::error::connection_aborted) continue;
-                           if (failed) { // out of descriptors, mostly: those in use go on
-                             ++counters_.accept_faults;
-                             make_room();
-                             return accept_later();
-                           }
-                           adopt(std::move(socket));
-                         }
-                         accept();
+                         accept_waiting();
                        });
 }
 
+void Server::accept_waiting() {
+  for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
+    if (all_.size() >= limits_.connections && !make_room()) {
+      ++counters_.accept_pauses;
+      return accept_later();
+    }
+    asio::error_code failed;
+    asio::ip::tcp::socket socket(io_);
+    acceptor_.accept(socket, failed);
+    if (failed == asio::error::would_block || failed == asio::error::try_again) {
+      if (!last_accepts_) break;
+      accepting_ = false;
+      acceptor_.close(failed);
+      return;
+    }
+    if (failed == asio::error::connection_aborted) continue;
+    if (failed) { // out of descriptors, mostly: those in use go on
+      ++counters_.accept_faults;
+      make_room();
+      return accept_later();
+    }
+    adopt(std::move(socket));
+  }
+  if (!last_accepts_) return accept();
+  asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) accept();
+  });
+}
+
 void Server::accept_later() {
   accept_timer_.expires_after(kAcceptPause);
   accept_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
@@ -114,12 +158,15 @@
 }
 
 // Closes the one that is owed least: without an open request, never vouched for before vouched, longest
-// unheard first. One that was heard of just now is let be: a request may be on its way on it.
+// unheard first. One that was heard of just now, or has said what was not read yet, is let be: a request may
+// be on its way on it; one with an unsent answer is too, as long as it may be about to read that.
 bool Server::make_room() {
   Connection *least = nullptr;
-  double settled = steady_now() - kSettled;
+  double now = steady_now();
   for (auto &[id, one] : all_) {
-    if (one->held > 0 || one->heard_at > settled) continue;
+    bool unsent = !one->unsent.empty() || !one->sending.empty();
+    if (one->held > 0 || one->heard_at > now - (unsent ? limits_.first_line : kSettled) || unread(*one))
+      continue;
     if (!least || std::pair(one->vouched, one->heard_at) < std::pair(least->vouched, least->heard_at))
       least = one.get();
   }
@@ -205,7 +252,25 @@
 }
 
 void Server::hold(Id id, int by) {
-  if (auto it = all_.find(id); it != all_.end()) it->second->held += by;
+  auto it = all_.find(id);
+  if (it == all_.end()) return;
+  it->second->held += by;
+  if (it->second->closes && it->second->held == 0) close_when_idle(id);
+}
+
+// Posted: the answer to the last request may come right after it was let go.
+void Server::close_when_idle(Id id) {
+  auto it = all_.find(id);
+  if (it == all_.end()) return;
+  it->second->closes = true;
+  asio::post(io_, [this, id, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired() && held(id) == 0) close_when_sent(id);
+  });
+}
+
+bool Server::closes(Id id) const {
+  auto it = all_.find(id);
+  return it != all_.end() && (it->second->closes || it->second->state == State::closing);
 }
 
 int Server::held(Id id) const {
@@ -272,7 +337,8 @@
     double due = steady_now() - limits_.first_line;
     std::vector<Id> silent;
     for (auto &[id, one] : all_) {
-      if (one->waits_since >= 0 && one->waits_since < due && one->held == 0) silent.push_back(id);
+      if (one->waits_since >= 0 && one->waits_since < due && one->held == 0 && !unread(*one))
+        silent.push_back(id); // what is unread was said while the front stood still
     }
     for (Id id : silent) {
       ++counters_.silent_cut;
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -18,7 +18,8 @@
   std::size_t connections = 64;
   std::size_t unsent_bytes = 256 * 1024; // a viewer that does not read what it is sent is cut
   std::size_t lines_a_turn = 16;         // then other connections have theirs
-  double first_line = 2; // seconds to say something whole, from connecting or from its first byte
+  double first_line = 2; // seconds to say something whole, from connecting or from its first byte; and to
+                         // read what it was sent, where room is wanted
 };
 
 struct Counters {
@@ -39,6 +40,7 @@
   asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
   std::size_t connections() const { return all_.size(); }
   const Counters &counters() const { return counters_; }
+  void change(const Limits &limits) { limits_ = limits; } // those over them go as others come
 
   bool send(Id id, std::string line); // false: there is no such connection any more
   void hold(Id id, int by); // so many requests are open on it (added): it is not closed to make room
@@ -47,16 +49,27 @@
   bool vouched(Id id) const;
   std::optional<Id> any_vouched() const; // the one that was vouched for last
   void close_when_sent(Id id);           // reads nothing more
-  void cut(Id id);                       // at once; closed comes during the call
-  void cut_soon(Id id);                  // after this turn; nothing more is read
+  void close_when_idle(Id id); // once no request is open on it and all is sent; it is read until then
+  bool closes(Id id) const;    // nothing new is to be taken from it
+  void cut(Id id);             // at once; closed comes during the call
+  void cut_soon(Id id);        // after this turn; nothing more is read
+  // The planned end, in this order: stop_accepting() takes what the system has accepted already, then closes
+  // the listener; is_quiet() once that is done and no connection has anything unread, half read or unsent;
+  // finish() ends what is sent on each and passes over what still comes, until stop().
   void stop_accepting();
+  bool listens() const { return acceptor_.is_open(); }
+  bool is_quiet();
+  std::size_t unsent() const; // bytes, over all connections
+  void finish();
   void stop();
 
  private:
   struct Connection;
   enum class State { silent, talking, closing, closed };
   static void become(Connection &one, State next);
+  static bool unread(Connection &one); // it has said what had no turn yet
   void accept();
+  void accept_waiting();
   void accept_later();
   void adopt(asio::ip::tcp::socket socket);
   bool make_room();
@@ -75,7 +88,7 @@
   std::array<char, 32 * 1024> buffer_; // shared: emptied before the next read
   std::unordered_map<Id, std::shared_ptr<Connection>> all_;
   Id next_ = 1, vouched_ = 0;
-  bool accepting_ = true;
+  bool accepting_ = true, last_accepts_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/platform/boot.cpp
+++ b/src/platform/boot.cpp
@@ -161,8 +161,10 @@
   if (out.core.products.empty()) throw bad("settings", "no class is named");
   check_length(given, given::kProductFloors, products);
   check_length(given, given::kProductTops, products);
+  check_length(given, given::kProductRateFactors, products);
   out.rungs = static_cast<int>(words(given, given::kRungRates).size());
   if (out.rungs == 0) throw bad("settings", "no rungs are given");
+  check_length(given, given::kRungImportance, static_cast<std::size_t>(out.rungs));
   out.cells = static_cast<int>(value(given, given::kCells));
   out.core.answer_slack = value_or(given, given::kAnswerSlack, 0.04);
   out.core.load_in_answers = false; // loads come as notes of their own
@@ -191,6 +193,23 @@
   return out;
 }
 
+std::optional<std::string> refusal_of(const Boot &now, const Boot &next) {
+  if (next.listen != now.listen) return "listen: needs a restart";
+  bool same_names = std::ranges::equal(next.core.products, now.core.products, {}, &edge::CoreProduct::name,
+                                       &edge::CoreProduct::name);
+  if (!same_names || next.core.kinds != now.core.kinds || next.core.halls != now.core.halls ||
+      next.cells != now.cells || next.rungs != now.rungs)
+    return "settings: other classes, kinds, zones, cells or rungs, or another order of them, need a restart";
+  for (const char *name : {given::kRacks, given::kLoadFields, given::kFurtherSpan}) { // see decision/policy.h
+    auto value = [&](const Boot &boot) {
+      auto it = boot.core.given.find(name);
+      return it == boot.core.given.end() ? std::string() : it->second;
+    };
+    if (value(now) != value(next)) return "settings: another " + std::string(name) + " needs a restart";
+  }
+  return std::nullopt;
+}
+
 Boot load_boot(const std::string &file) {
   std::ifstream in(file, std::ios::binary);
   if (!in) throw BootError(file + ": cannot be read");
--- a/src/platform/boot.h
+++ b/src/platform/boot.h
@@ -38,6 +38,10 @@
 
 Boot read_boot(const std::string &text); // throws BootError
 Boot load_boot(const std::string &file); // likewise
+// Why `next` can't take the place of what is in service, or nothing. It is refused where plays in hand, the
+// module or the listener would go on by other terms than those of the new file: another order or name of
+// classes too.
+std::optional<std::string> refusal_of(const Boot &now, const Boot &next);
 Shares share_out(std::size_t sockets, std::size_t memory_mb);
 
 } // namespace snowshore::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -17,6 +17,7 @@
 // owed.
 constexpr double kStillComing = 0.7;
 constexpr double kLookEvery = 0.02;
+constexpr double kCrossing = 0.05; // a set-up that crosses a close by so much is sent once more
 constexpr double kReportEvery = 5;
 
 std::size_t resident_kb() {
@@ -54,15 +55,14 @@
 PlatformFront::~PlatformFront() { viewers_.stop(); }
 
 std::optional<std::string> PlatformFront::change(Boot next) {
-  if (next.listen != boot_.listen) return "listen: needs a restart";
-  if (next.core.kinds != boot_.core.kinds || next.core.halls != boot_.core.halls ||
-      next.cells != boot_.cells || next.rungs != boot_.rungs ||
-      next.core.products.size() != boot_.core.products.size())
-    return "settings: another shape of classes, kinds, zones, cells or rungs needs a restart";
+  if (auto why = refusal_of(boot_, next)) return why;
   bool given = next.core.given != boot_.core.given;
-  boot_.channel = next.channel;
-  boot_.core.given = next.core.given;
-  channel_->move_to(next.channel);
+  // What stands from the start: the seed, the list in hand and its number.
+  next.seed = boot_.seed, next.core.seed = boot_.core.seed, next.known = boot_.known;
+  boot_ = std::move(next);
+  viewers_.reload();
+  servers_.reload();
+  channel_->move_to(boot_.channel);
   if (given) core_.change(boot_.core);
   return std::nullopt;
 }
@@ -74,16 +74,30 @@
   drain_timer_.async_wait([this](asio::error_code error) {
     if (error) return;
     viewers_.shut();
-    look_drained();
+    look_drained(telemetry::steady_now() + boot_.longest_limit);
   });
 }
 
-void PlatformFront::look_drained() {
+// Until no play is in hand and nothing on viewers' connections is unread or unsent; at most for the longest
+// time limit, after which no viewer waits for anything.
+void PlatformFront::look_drained(double until) {
   drain_timer_.expires_after(span(kLookEvery));
-  drain_timer_.async_wait([this](asio::error_code error) {
+  drain_timer_.async_wait([this, until](asio::error_code error) {
     if (error) return;
-    if (core_.in_hand() > 0) return look_drained();
-    if (drained_) std::exchange(drained_, nullptr)();
+    bool owed = core_.in_hand() > 0 || !viewers_.is_quiet();
+    if (owed && telemetry::steady_now() < until) return look_drained(until);
+    if (owed) log_.warning("drain_cut", {{"in_hand", core_.in_hand()}, {"unsent", viewers_.unsent()}});
+    finish();
+  });
+}
+
+// Viewers see the end of what is sent before their connections go; a set-up that crosses it is theirs to
+// repeat.
+void PlatformFront::finish() {
+  viewers_.finish();
+  drain_timer_.expires_after(span(kCrossing));
+  drain_timer_.async_wait([this](asio::error_code error) {
+    if (!error && drained_) std::exchange(drained_, nullptr)();
   });
 }
 
@@ -109,6 +123,7 @@
                {"connections", {{"viewers", viewers_.connections()}, {"servers", servers_.connections()}}},
                {"shares", {{"viewers", boot_.shares.viewers}, {"servers", boot_.shares.servers}}},
                {"in_hand", core_.in_hand()},
+               {"unsent", viewers_.unsent()},
                {"playing", core_.plays().count(edge::PlayState::playing)},
                {"answers", answers},
                {"outcomes", outcomes},
@@ -149,7 +164,11 @@
                  {"malformed", s.malformed},
                  {"lost_silent", s.lost_silent},
                  {"lost_restarted", s.lost_restarted},
-                 {"lost_gone", s.lost_gone}}},
+                 {"lost_gone", s.lost_gone},
+                 {"early_ends", s.early_ends},
+                 {"recalled_unsent", p.recalled_unsent},
+                 {"releases_again", p.releases_again},
+                 {"releases_dropped", p.releases_dropped}}},
                {"channel",
                 {{"number", core_.list_version()},
                  {"connects", c.connects},
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -25,7 +25,8 @@
   void drain(std::function<void()> done);
 
  private:
-  void look_drained();
+  void look_drained(double until);
+  void finish();
   void report();
 
   asio::io_context &io_;
--- a/src/platform/run.cpp
+++ b/src/platform/run.cpp
@@ -18,11 +18,12 @@
 
 int run_platform(const std::string &log_level) {
   try {
+    asio::io_context io(1);
+    asio::signal_set signals = edge::keep_signals(io);
     std::string file = variable("NODE_CONFIG");
     if (file.empty()) throw BootError("NODE_CONFIG: is not set");
     Boot boot = load_boot(file);
     telemetry::Log log("-", telemetry::level_of(log_level));
-    asio::io_context io(1);
     log.info("starting", {{"name", boot.name},
                           {"sockets", boot.sockets},
                           {"memory_mb", boot.memory_mb},
@@ -35,7 +36,7 @@
       if (auto why = front.change(load_boot(file))) throw BootError(*why);
       log.info("reloaded");
     };
-    edge::serve(io, front.core().clock(), log,
+    edge::serve(io, signals, front.core().clock(), log,
                 {read_again, [&](std::function<void()> done) { front.drain(std::move(done)); }});
     return 0;
   } catch (const std::exception &error) {
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr double kWatchEvery = 0.1, kStoodStill = 1;
+constexpr double kHandedOverWithin = 8; // the protocol's bound on telling of an end
+constexpr std::size_t kMostEarlyEnds = 1024;
 
 constexpr std::pair<std::string_view, NoteKind> kNotes[] = {{"delivered", NoteKind::share_delivered},
                                                             {"rung", NoteKind::rung},
@@ -25,11 +27,24 @@
 
 Servers::Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers)
     : io_(io), boot_(boot), log_(log), viewers_(viewers), watch_timer_(io) {
+  reload();
+}
+
+void Servers::reload() {
   times_.connect = times_.whole = times_.probe = boot_.connect_time;
   times_.idle = boot_.idle_time;
   liveness_terms_.speaks_every = boot_.note_interval;
   limits_.set_ups = boot_.streams;
   limits_.unsent = boot_.shares.unsent_server;
+  share_descriptors();
+}
+
+// Evenly over the servers that may be connected to.
+void Servers::share_descriptors() {
+  auto listed = static_cast<std::size_t>(
+      std::ranges::count_if(sites_, [](const auto &s) { return s && s->entry.standing != Standing::left; }));
+  limits_.connections =
+      std::clamp<std::size_t>(boot_.shares.servers / std::max<std::size_t>(listed, 1), 1, 8);
 }
 
 void Servers::start() { watch(); }
@@ -56,11 +71,7 @@
   one.entry = entry;
   if (moved) one.peer.reset();
   if (!one.peer && !gone) open(server);
-  // Descriptors are shared out evenly over the servers that may be connected to.
-  auto listed = static_cast<std::size_t>(
-      std::ranges::count_if(sites_, [](const auto &s) { return s && s->entry.standing != Standing::left; }));
-  limits_.connections =
-      std::clamp<std::size_t>(boot_.shares.servers / std::max<std::size_t>(listed, 1), 1, 8);
+  share_descriptors();
   if (!moved && !restarted && !(gone && (!one.peer || one.peer->open() == 0))) return;
   asio::post(io_, [this, server, serial = one.serial, restarted, before = entry.started,
                    alive = std::weak_ptr<bool>(alive_)] {
@@ -242,6 +253,22 @@
 
 // ---- Plays that stand.
 
+void Servers::handed_over(int play) {
+  const HeldPlay &held = core_->plays().at(play);
+  double since = core_->clock().now() - kHandedOverWithin;
+  while (!early_ends_.empty() && early_ends_.front().at < since) early_ends_.pop_front();
+  auto its = std::ranges::find_if(early_ends_, [&](const EarlyEnd &one) {
+    return one.session == held.id && one.server == core_->server_id(held.server);
+  });
+  if (its == early_ends_.end()) return;
+  ++counters_.early_ends;
+  asio::post(io_,
+             [this, ref = core_->ref(play), outcome = its->outcome, alive = std::weak_ptr<bool>(alive_)] {
+               if (!alive.expired() && core_->holds(ref)) core_->play_over(ref.index, outcome);
+             });
+  early_ends_.erase(its);
+}
+
 void Servers::step(int play, int rung) {
   const HeldPlay &held = core_->plays().at(play);
   if (Site *one = site(held.server); one && one->peer && one->entry.standing != Standing::left)
@@ -275,6 +302,12 @@
   if (play < 0 || core_->plays().at(play).server != server ||
       core_->plays().at(play).state != PlayState::playing) {
     ++counters_.strangers;
+    // A front that came back hears ends of plays before they are handed over to it.
+    if (play >= 0 || message.method != "TEARDOWN") return;
+    if (early_ends_.size() >= kMostEarlyEnds) early_ends_.pop_front();
+    early_ends_.push_back({session, site(server)->entry.id,
+                           outcome_of_release(cause_of(message).value_or(kCauseFailed)),
+                           core_->clock().now()});
     return;
   }
   if (message.method == "ANNOUNCE") {
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -7,7 +7,9 @@
 #include "platform/viewers.h"
 #include "rtsp/peer.h"
 
+#include <deque>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace snowshore::platform {
@@ -16,13 +18,14 @@
  public:
   struct Counters {
     std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, notes = 0, malformed = 0, strangers = 0,
-                  lost_silent = 0, lost_restarted = 0, lost_gone = 0;
+                  early_ends = 0, lost_silent = 0, lost_restarted = 0, lost_gone = 0;
     std::array<std::uint64_t, 8> outcomes{};                       // of set-ups
     std::array<std::uint64_t, std::size(rtsp::kEndNames)> downs{}; // of connections
   };
   Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers);
   void attach(edge::Core &core) { core_ = &core; }
-  void start(); // the watch
+  void start();  // the watch
+  void reload(); // other times and limits stand in the configuration now
 
   const Counters &counters() const { return counters_; }
   const rtsp::PeerCounters &peer_counters() const { return peer_counters_; }
@@ -31,6 +34,7 @@
 
   void set_up(int play, const edge::Allocation &allocation) override;
   void withdraw(int play, std::string_view why) override;
+  void handed_over(int play) override;
   void step(int play, int rung) override;
   void end(int play, std::string_view why) override;
   void probe(int server) override;
@@ -47,10 +51,17 @@
     std::uint64_t sent = 0, started = 0, refused = 0, failed = 0, notes = 0; // since the last report
     explicit Site(const LivenessTerms &terms) : life(terms) {}
   };
+  struct EarlyEnd { // a server's release of a play that is not in hand; it is not said again
+    std::uint64_t session = 0;
+    std::string server; // its id
+    Outcome outcome = Outcome::reset;
+    double at = 0;
+  };
   Site *site(int server) {
     return static_cast<std::size_t>(server) < sites_.size() ? sites_[static_cast<std::size_t>(server)].get()
                                                             : nullptr;
   }
+  void share_descriptors();
   void open(int server);
   void set_up_ended(int server, std::uint64_t session, rtsp::End end, const rtsp::Message *message,
                     double took);
@@ -74,6 +85,7 @@
   rtsp::PeerCounters peer_counters_;
   Counters counters_;
   std::vector<std::unique_ptr<Site>> sites_; // by server
+  std::deque<EarlyEnd> early_ends_;
   std::uint64_t next_serial_ = 1;
   double watched_at_ = 0;
   asio::steady_timer watch_timer_;
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -35,14 +35,20 @@
 Viewers::Viewers(asio::io_context &io, const Boot &boot, telemetry::Log &log)
     : io_(io), boot_(boot), log_(log) {}
 
-void Viewers::listen() {
+jsonlines::Limits Viewers::limits() const {
   jsonlines::Limits limits;
   limits.connections = boot_.shares.viewers;
   limits.unsent_bytes = boot_.shares.unsent_viewer;
+  return limits;
+}
+
+void Viewers::reload() { server_->change(limits()); }
+
+void Viewers::listen() {
   jsonlines::Server::Events events;
   events.line = [this](Connection from, std::string_view line) { on_line(from, line); };
   events.closed = [this](Connection which, const char *) { on_closed(which); };
-  server_ = std::make_unique<jsonlines::Server>(io_, boot_.listen, limits, std::move(events));
+  server_ = std::make_unique<jsonlines::Server>(io_, boot_.listen, limits(), std::move(events));
 }
 
 void Viewers::shut() {
@@ -144,7 +150,8 @@
     server_->vouch(from);
     return;
   }
-  if (shut_ || !core_->has_list() || held_bytes_ + message.description->size() > boot_.shares.held_bytes) {
+  if (shut_ || server_->closes(from) || !core_->has_list() ||
+      held_bytes_ + message.description->size() > boot_.shares.held_bytes) {
     ++counters_.no_room;
     server_->send(from, declined(message.tag, boot_.longest_retry_after));
     return;
@@ -211,6 +218,8 @@
   ++counters_.refused_bad;
   if (log_.writes(telemetry::Level::debug))
     log_.debug("bad_viewer", {{"cause", why}, {"held", server_->held(from)}});
+  // One bad line does not cost the plays of a good connection their answers: it goes once they have them.
+  if (server_->vouched(from) && server_->held(from) > 0) return server_->close_when_idle(from);
   server_->cut_soon(from);
 }
 
@@ -229,6 +238,7 @@
 void Viewers::answer(int play, const edge::SetUpResult &result) {
   server_->vouch(at_door(play).connection);
   settle(play, jsonlines::write_answer(tag(play), result.description));
+  say_later(); // it may be the first good connection again
 }
 
 std::string Viewers::declined(std::uint64_t tag, double retry_after) const {
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -22,13 +22,19 @@
   Viewers(asio::io_context &io, const Boot &boot, telemetry::Log &log);
   void attach(edge::Core &core) { core_ = &core; }
   void listen();
+  void reload(); // other limits stand in the configuration now
 
   void drain() { draining_ = true; } // tests fail from now on
   void shut();                       // nothing new is taken any more: it is declined at once
+  // Nothing that came is unread, nothing said is unsent.
+  bool is_quiet() { return server_->is_quiet(); }
+  void finish() { server_->finish(); }
+  bool listens() const { return server_->listens(); }
   void stop() { server_->stop(); }
   std::size_t connections() const { return server_->connections(); }
   asio::ip::tcp::endpoint local() const { return server_->local(); }
   const Counters &counters() const { return counters_; }
+  std::size_t unsent() const { return server_->unsent(); }
   const jsonlines::Counters &line_counters() const { return server_->counters(); }
 
   // What the server's door needs of a play.
@@ -64,6 +70,7 @@
       at_door_.resize(static_cast<std::size_t>(play) + 1);
     return at_door_[static_cast<std::size_t>(play)];
   }
+  jsonlines::Limits limits() const;
   void on_line(Connection from, std::string_view line);
   void on_closed(Connection which);
   void start(Connection from, const jsonlines::Message &message);
--- a/src/program/run.cpp
+++ b/src/program/run.cpp
@@ -23,11 +23,12 @@
 
 int run_edge(const std::vector<std::string> &files, const std::string &version, edge::MakeFront make) {
   try {
+    asio::io_context io(1);
+    asio::signal_set signals = edge::keep_signals(io);
     FrontRecord record = site::load_front(files);
     std::unique_ptr<Beside> beside = make_beside(record, version);
     if (beside) record = beside->start(record);
     telemetry::Log log(record.log_where, telemetry::level_of(record.log_level));
-    asio::io_context io(1);
     auto source = edge::watch_files(io, record.list_file, record.catalogue_file);
     if (source->polls()) log.warning("list_polled", {{"cause", "the system has no file watch left to give"}});
     std::string ports = record.ports_file;
@@ -45,12 +46,16 @@
                          {"operators", edge.operators().port()},
                          {"management", management_port}});
 
+    bool draining = false;
     auto read_again = [&] {
+      if (draining) throw std::runtime_error("the front drains");
       if (beside) return beside->take_files(site::load_front(files));
       log.info("reloaded", {{"needs_restart", edge.reload(site::load_front(files))}});
     };
-    edge::serve(io, edge.clock(), log,
-                {read_again, [&](std::function<void()> done) { edge.drain(std::move(done)); }});
+    edge::serve(io, signals, edge.clock(), log, {read_again, [&](std::function<void()> done) {
+                                                   draining = true;
+                                                   edge.drain(std::move(done));
+                                                 }});
     return 0;
   } catch (const records::RecordError &error) {
     std::cerr << error.what() << "\n";
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -34,6 +34,10 @@
 }
 
 constexpr const char *kAnyAddress = "rtsp://media/session";
+constexpr int kReleased = 16;        // the protocol's cause of an end that is no fault
+constexpr double kMayBeUnheard = 1;  // seconds, between a release written and the end of its connection
+constexpr double kReleaseWithin = 8; // the protocol's bound on what could not be said at once
+constexpr std::size_t kMostReleases = 1024;
 
 } // namespace
 
@@ -42,9 +46,10 @@
   asio::steady_timer timer; // of connecting
   State state = State::connecting;
   Reader reader;
-  std::string unsent, sending;
-  std::vector<std::pair<std::uint64_t, std::string>> waiting; // until it is up, by session
-  std::vector<std::uint64_t> set_ups;                         // open on it
+  std::vector<std::pair<std::uint64_t, std::string>> waiting; // messages by session, until they can be sent
+  std::size_t unsent = 0;                                     // bytes of those
+  std::string sending;
+  std::vector<std::uint64_t> set_ups; // open on it
   bool retired = false;
   double used_at = 0, heard_at = 0, partial_since = -1, retired_at = 0;
   std::array<char, 4096> buffer;
@@ -79,6 +84,12 @@
       std::ranges::count_if(links_, [](const auto &link) { return link->state == State::open; }));
 }
 
+std::size_t Peer::unsent() const {
+  std::size_t sum = 0;
+  for (const auto &link : links_) sum += link->unsent;
+  return sum;
+}
+
 // The one with the fewest set-ups open; another where each has some and there is room for one more.
 std::shared_ptr<Peer::Link> Peer::choose(bool for_set_up) {
   std::shared_ptr<Link> best;
@@ -118,9 +129,9 @@
     link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     become(*link, State::open);
     link->used_at = steady_now();
-    for (auto &[session, text] : std::exchange(link->waiting, {})) link->unsent += text;
-    if (!link->unsent.empty()) write(link);
+    if (!link->waiting.empty()) write(link);
     read(link);
+    say_releases();
     events_.up();
   });
   return link;
@@ -128,26 +139,25 @@
 
 void Peer::say(const std::shared_ptr<Link> &link, std::uint64_t session, std::string text) {
   link->used_at = steady_now();
-  if (link->state == State::connecting) {
-    link->waiting.emplace_back(session, std::move(text));
-    return;
-  }
-  link->unsent += text;
-  if (link->state == State::open && link->sending.empty()) write(link);
-  if (link->unsent.size() > limits_.unsent) // it does not read what it is sent
+  link->unsent += text.size();
+  link->waiting.emplace_back(session, std::move(text));
+  if (link->state != State::open) return;
+  if (link->sending.empty()) write(link);
+  if (link->unsent > limits_.unsent) // it does not read what it is sent
     asio::post(io_, [this, link, alive = std::weak_ptr<bool>(alive_)] {
       if (!alive.expired()) end(link, End::reset);
     });
 }
 
 void Peer::write(const std::shared_ptr<Link> &link) {
-  link->sending = std::exchange(link->unsent, {});
+  for (auto &[session, text] : std::exchange(link->waiting, {})) link->sending += text;
+  link->unsent = 0;
   asio::async_write(link->socket, asio::buffer(link->sending),
                     [this, link, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t) {
                       if (alive.expired() || link->state != State::open) return;
                       link->sending.clear();
                       if (error) return end(link, End::reset);
-                      if (!link->unsent.empty()) write(link);
+                      if (!link->waiting.empty()) write(link);
                     });
 }
 
@@ -193,7 +203,9 @@
     probe_timer_.cancel();
     return events_.probed(End::answered, &message);
   }
-  if (number != "1") return; // to a release, a rung: wants nothing
+  if (number == "2") // a release is heard
+    std::erase_if(releases_, [&](const Release &one) { return one.session == *session; });
+  if (number != "1") return; // to a release, a rung: wants nothing more
   auto it = out_.find(*session);
   if (it != out_.end()) {
     if (it->second.link.lock() != link) return; // not asked here
@@ -206,9 +218,7 @@
     return;
   }
   ++counters_.late;
-  Message tear = request("TEARDOWN", kAnyAddress, "2", *session);
-  tear.add("Reason", "cause=16");
-  say(link, *session, rtsp::write(tear));
+  release(*session, kReleased);
 }
 
 void Peer::set_up_over(std::uint64_t session, End how, const Message *message) {
@@ -240,44 +250,79 @@
   Out &out = out_[set_up.session];
   out.link = link;
   out.sent = steady_now();
+  out.number = ++set_ups_;
   link->set_ups.push_back(set_up.session);
   out.timer = std::make_unique<asio::steady_timer>(io_, span(set_up.time_out));
-  out.timer->async_wait(
-      [this, session = set_up.session, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-        if (error || alive.expired()) return;
-        auto it = out_.find(session);
-        if (it == out_.end()) return;
-        auto silent = it->second.link.lock();
-        double sent = it->second.sent;
-        bool left = silent && silent->state == State::open;
-        give_up(session);
-        // A connection that has brought nothing since may be of no more use.
-        if (left && silent->heard_at <= sent) retire(silent);
-        events_.set_up_ended(session, left ? End::timed_out : End::not_up, nullptr, steady_now() - sent);
-      });
+  out.timer->async_wait([this, session = set_up.session, timed = out.number,
+                         alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (error || alive.expired()) return;
+    auto it = out_.find(session);
+    if (it == out_.end() || it->second.number != timed) return;
+    auto silent = it->second.link.lock();
+    double sent = it->second.sent;
+    bool left = give_up(session);
+    // A connection that has brought nothing since may be of no more use.
+    if (left && silent && silent->heard_at <= sent) retire(silent);
+    events_.set_up_ended(session, left ? End::timed_out : End::not_up, nullptr, steady_now() - sent);
+  });
   say(link, set_up.session, rtsp::write(message));
 }
 
-void Peer::give_up(std::uint64_t session) {
+// True where it may have reached the server.
+bool Peer::give_up(std::uint64_t session) {
   auto it = out_.find(session);
-  if (it == out_.end()) return;
+  if (it == out_.end()) return false;
   ++counters_.given_up;
   given_up_[given_up_at_++ % given_up_.size()] = session;
   auto link = it->second.link.lock();
   out_.erase(it);
-  if (!link || link->state == State::closed) return;
+  if (!link || link->state == State::closed) return true;
   std::erase(link->set_ups, session);
-  if (link->state == State::connecting) { // it never left
-    std::erase_if(link->waiting, [&](const auto &one) { return one.first == session; });
-    return;
+  if (std::erase_if(link->waiting, [&](const auto &one) {
+        bool its = one.first == session;
+        if (its) link->unsent -= one.second.size();
+        return its;
+      }) > 0) { // it never left, since the connection is not up or its server does not read
+    ++counters_.recalled_unsent;
+    return false;
   }
   say(link, session, rtsp::write(request("TEARDOWN", kAnyAddress, "2", session)));
+  return true;
 }
 
 void Peer::release(std::uint64_t session, int cause) {
-  Message message = request("TEARDOWN", kAnyAddress, "2", session);
-  message.add("Reason", "cause=" + std::to_string(cause));
-  if (auto link = choose(false)) say(link, session, rtsp::write(message));
+  double now = steady_now();
+  while (!releases_.empty() &&
+         (releases_.front().since < now - kReleaseWithin || releases_.size() >= kMostReleases)) {
+    counters_.releases_dropped += releases_.front().on.expired();
+    releases_.pop_front();
+  }
+  releases_.push_back({session, cause, now, 0, {}});
+  say_releases();
+}
+
+// Those not said yet, or said on a connection that has gone since; again at each look until they are.
+void Peer::say_releases() {
+  double now = steady_now();
+  std::erase_if(releases_, [&](const Release &one) {
+    auto link = one.on.lock();
+    return (link && link->state == State::open && link->sending.empty() && link->waiting.empty() &&
+            one.said < now - kMayBeUnheard) ||
+           one.since < now - kReleaseWithin;
+  });
+  for (std::size_t i = 0; i < releases_.size(); ++i) {
+    auto before = releases_[i].on.lock();
+    if (before && before->state != State::closed) continue;
+    if (releases_[i].said > now - kMayBeUnheard) continue; // connections are asked for sparingly
+    auto link = choose(false);
+    if (!link) return;
+    Release &one = releases_[i];
+    counters_.releases_again += one.said > 0;
+    one.on = link, one.said = now;
+    Message message = request("TEARDOWN", kAnyAddress, "2", one.session);
+    message.add("Reason", "cause=" + std::to_string(one.cause));
+    say(link, one.session, rtsp::write(message));
+  }
 }
 
 void Peer::step(std::uint64_t session, int rung) {
@@ -360,6 +405,7 @@
         end(link, End::closed);
       if (alive.expired()) return;
     }
+    say_releases();
     look();
   });
 }
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -8,6 +8,7 @@
 #include <asio.hpp>
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <list>
 #include <memory>
@@ -41,7 +42,8 @@
 };
 
 struct PeerCounters {
-  std::uint64_t connects = 0, set_ups = 0, answers = 0, given_up = 0, late = 0, strangers = 0, no_room = 0;
+  std::uint64_t connects = 0, set_ups = 0, answers = 0, given_up = 0, late = 0, strangers = 0, no_room = 0,
+                recalled_unsent = 0, releases_again = 0, releases_dropped = 0;
 };
 
 class Peer {
@@ -65,9 +67,13 @@
   const asio::ip::tcp::endpoint &address() const { return at_; }
   std::size_t open() const; // connections that are up
   std::size_t connections() const { return links_.size(); }
+  std::size_t unsent() const; // bytes that wait for a connection or for the server to read
 
   void set_up(const SetUp &set_up);
-  void give_up(std::uint64_t session); // told to the server; no set_up_ended comes for it any more
+  // No set_up_ended comes for it any more. What was not sent yet never is; else the server is told, and true.
+  bool give_up(std::uint64_t session);
+  // Of a session that stands: said again on another connection where the one that carried it ends before the
+  // server can be held to have heard it.
   void release(std::uint64_t session, int cause);
   void step(std::uint64_t session, int rung);
   void probe();
@@ -81,6 +87,13 @@
     std::weak_ptr<Link> link;
     std::unique_ptr<asio::steady_timer> timer;
     double sent = 0;
+    std::uint64_t number = 0; // a session may be set up here again: its old timer is not the new one's
+  };
+  struct Release { // not known to be heard
+    std::uint64_t session = 0;
+    int cause = 0;
+    double since = 0, said = 0;
+    std::weak_ptr<Link> on; // expired: still to be said
   };
   enum class State { connecting, open, closed };
   void become(Link &link, State next);
@@ -93,6 +106,7 @@
   void end(const std::shared_ptr<Link> &link, End how);
   void set_up_over(std::uint64_t session, End how, const Message *message);
   void retire(const std::shared_ptr<Link> &link);
+  void say_releases();
   void look();
 
   asio::io_context &io_;
@@ -104,6 +118,8 @@
   Events events_;
   std::list<std::shared_ptr<Link>> links_;
   std::unordered_map<std::uint64_t, Out> out_;
+  std::uint64_t set_ups_ = 0;
+  std::deque<Release> releases_;
   std::array<std::uint64_t, 64> given_up_{}; // the last ones: their late answers are released
   std::size_t given_up_at_ = 0;
   std::uint64_t probe_ = 0; // the session of the test that is out, 0: none
--- /dev/null
+++ b/tests/platform/test_endings.cpp
@@ -0,0 +1,356 @@
+// What ends things, at the instant in which something is still owed: each case forces the bad order by steps
+// that wait for one another. The rows are those of docs/endings.md.
+#include "platform/scene.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowshore;
+using namespace snowshore::testing;
+
+namespace {
+
+// A viewer's socket that is read only when the case says so, with a small buffer.
+struct SlowPeer {
+  asio::ip::tcp::socket socket;
+  std::string heard;
+  SlowPeer(asio::io_context &io, const asio::ip::tcp::endpoint &to) : socket(io) {
+    socket.open(to.protocol());
+    socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    socket.connect(to);
+    socket.non_blocking(true);
+  }
+  void say(const std::string &text) {
+    asio::error_code ignored;
+    asio::write(socket, asio::buffer(text), ignored);
+  }
+  bool read() { // what is there; false once the other side has ended
+    char buffer[65536];
+    asio::error_code error;
+    while (std::size_t n = socket.read_some(asio::buffer(buffer), error)) heard.append(buffer, n);
+    return error == asio::error::would_block;
+  }
+  std::size_t count(const std::string &part) const {
+    std::size_t n = 0;
+    for (std::size_t at = heard.find(part); at != std::string::npos; at = heard.find(part, at + 1)) ++n;
+    return n;
+  }
+};
+
+std::string echo() {
+  return R"({"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0})"
+         "\n";
+}
+
+// Answers stay unsent at the front: the peer's and the front's buffers are full.
+std::size_t fill(PlatformScene &scene, SlowPeer &peer) {
+  std::size_t asked = 0;
+  while (scene.front->viewers().unsent() < 4096) {
+    std::string all;
+    for (int i = 0; i < 16; ++i, ++asked) all += echo();
+    peer.say(all);
+    if (!scene.until([&] { return scene.front->viewers().counters().tests == asked; }))
+      throw std::runtime_error("a test was not heard");
+  }
+  return asked;
+}
+
+nlohmann::json with_roomy_memory(nlohmann::json config) { // so that a viewer that does not read is not cut
+  config["limits"]["memory_mb"] = 1024;
+  return config;
+}
+
+void restart(PlatformScene &scene, const nlohmann::json &config) {
+  scene.front.reset();
+  scene.config = config;
+  scene.front =
+      std::make_unique<platform::PlatformFront>(scene.io, platform::read_boot(config.dump()), scene.log);
+  scene.run(0.25);
+}
+
+} // namespace
+
+TEST_CASE("drain: an answer still unsent holds up the exit, and arrives whole") {
+  PlatformScene scene(1);
+  restart(scene, with_roomy_memory(scene.config));
+  SlowPeer peer(scene.io, scene.front->viewers().local());
+  std::size_t asked = fill(scene, peer);
+  bool done = false;
+  scene.front->drain([&] { done = true; });
+  scene.run(1.0);
+  CHECK_FALSE(done);
+  bool open = true;
+  scene.until([&] { return !(open = peer.read()) || done; }, 2);
+  CHECK(scene.until([&] { return done; }, 1));
+  scene.front.reset();
+  peer.read();
+  CHECK(peer.count("ECHOED") == asked);
+  CHECK(peer.heard.ends_with("}\n"));
+}
+
+TEST_CASE("drain: a viewer that never reads holds it up for the longest time limit, no longer") {
+  PlatformScene scene(1);
+  restart(scene, with_roomy_memory(scene.config));
+  SlowPeer peer(scene.io, scene.front->viewers().local());
+  fill(scene, peer);
+  bool done = false;
+  scene.front->drain([&] { done = true; });
+  CHECK_FALSE(scene.until([&] { return done; }, 1.7));
+  CHECK(scene.until([&] { return done; }, 1.0)); // 0.7 s, the limit of 1.2 s, and a moment
+}
+
+TEST_CASE("drain: a connection that the system accepted with a whole request is answered") {
+  PlatformScene scene(1, "unsafe"); // set up once, for as long as its viewer waits
+  scene.servers[0]->how = "silent";
+  nlohmann::json config = scene.config;
+  config["limits"]["sockets"] = 32;
+  config["settings"]["family_info"]["link_unit_kb"] = 400000;
+  restart(scene, config);
+  std::size_t room = platform::share_out(32, 48).viewers;
+  std::vector<RawPeer *> held;
+  for (std::size_t i = 0; i < room; ++i) { // every place is taken by an open request
+    held.push_back(&scene.viewer());
+    held.back()->say(PlatformScene::start(scene.next_tag()));
+  }
+  REQUIRE(scene.until([&] { return scene.front->core().in_hand() == room; }));
+  bool done = false;
+  scene.front->drain([&] { done = true; });
+  scene.run(0.65);
+  RawPeer &waiting = scene.viewer(); // in the listener's backlog
+  std::string tag = scene.next_tag();
+  waiting.say(PlatformScene::start(tag));
+  CHECK(scene.until([&] { return PlatformScene::said(waiting, "FINISH", tag); }, 2));
+  CHECK(scene.until([&] { return done; }, 2));
+}
+
+TEST_CASE("drain: a request in pieces across the last moment of taking is answered") {
+  PlatformScene scene(1);
+  RawPeer &viewer = scene.viewer();
+  bool done = false;
+  scene.front->drain([&] { done = true; });
+  scene.run(0.6);
+  std::string tag = scene.next_tag(), line = PlatformScene::start(tag);
+  viewer.say(line.substr(0, 40));
+  scene.run(0.25); // nothing is taken as a play any more
+  CHECK_FALSE(done);
+  viewer.say(line.substr(40));
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", tag); }, 0.5));
+  CHECK(scene.until([&] { return done; }, 0.5));
+}
+
+TEST_CASE("exit: bytes that cross it do not take the last answer with them") {
+  PlatformScene scene(1);
+  SlowPeer peer(scene.io, scene.front->viewers().local());
+  bool done = false;
+  scene.front->drain([&] { done = true; });
+  peer.say(echo());
+  REQUIRE(scene.until([&] { return scene.front->viewers().counters().tests == 1; }));
+  // Its last answer lies unread at the viewer; the end of what is sent comes first, then what crosses it.
+  asio::error_code failed;
+  REQUIRE(scene.until([&] { return done || !scene.front->viewers().listens(); }, 2));
+  scene.run(0.02);
+  peer.say(echo());
+  REQUIRE(scene.until([&] { return done; }, 1));
+  scene.front.reset();
+  peer.read();
+  CHECK(peer.count("ECHOED") >= 1);
+}
+
+TEST_CASE("reload: what would leave parts on other terms is refused whole, the rest holds in every part") {
+  PlatformScene scene(1);
+  nlohmann::json two = scene.config;
+  nlohmann::json second = two["settings"]["classes"][0];
+  second["name"] = "talk", second["effect"] = "unsafe", second["deadline"] = 0.8;
+  two["settings"]["classes"].push_back(second);
+  for (const char *name : {"class_floor", "class_top", "class_seats", "rate_factor", "is_live"})
+    two["settings"]["family_info"][name].push_back(two["settings"]["family_info"][name][0]);
+  restart(scene, two);
+  RawServer moved(scene.io);
+  std::string elsewhere = "127.0.0.1:" + std::to_string(moved.acceptor.local_endpoint().port());
+  auto refused = [&](const std::function<void(nlohmann::json &)> &change) {
+    nlohmann::json next = two;
+    next["channel"] = elsewhere;
+    change(next);
+    bool is = scene.front->change(platform::read_boot(next.dump())).has_value();
+    scene.run(0.1);
+    return is && moved.links.empty(); // nothing of it is in force
+  };
+  CHECK(
+      refused([](auto &next) { std::swap(next["settings"]["classes"][0], next["settings"]["classes"][1]); }));
+  CHECK(refused([](auto &next) { next["settings"]["classes"][1]["name"] = "speech"; }));
+  CHECK(refused([](auto &next) { next["settings"]["family_info"]["groups"] = 2; }));
+  CHECK(refused([](auto &next) { next["settings"]["report"]["names"] = {"cpu"}; }));
+  nlohmann::json short_list = two;
+  short_list["settings"]["family_info"]["rate_factor"] = {1.0};
+  CHECK_THROWS_AS(platform::read_boot(short_list.dump()), platform::BootError);
+
+  nlohmann::json next = two; // another time limit, advice and connect time: in the doors as in the module
+  next["channel"] = elsewhere;
+  next["settings"]["classes"][0]["deadline"] = 2.4;
+  next["settings"]["limits"]["max_retry_after"] = 0.9;
+  REQUIRE_FALSE(scene.front->change(platform::read_boot(next.dump())).has_value());
+  CHECK(scene.until([&] { return moved.links.size() == 1; }, 1));
+  RawPeer &viewer = scene.viewer();
+  std::string longer = scene.next_tag();
+  viewer.say(PlatformScene::start(longer, "", "7f3a9c21e0b4d655", "2400"));
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "STARTED", longer); }, 1));
+  scene.front->viewers().shut();
+  std::string tag = scene.next_tag();
+  viewer.say(PlatformScene::start(tag));
+  CHECK(
+      scene.until([&] { return viewer.heard.find("\"wait\":\"900\"},\"rc\":34") != std::string::npos; }, 1));
+}
+
+TEST_CASE("a bad line on a good connection does not cost its plays their answers; the connection then goes") {
+  PlatformScene scene(1);
+  RawPeer &viewer = scene.viewer();
+  scene.standing(viewer); // a good connection
+  scene.servers[0]->how = "silent";
+  std::string tag = scene.next_tag(), after = scene.next_tag();
+  viewer.say(PlatformScene::start(tag));
+  REQUIRE(scene.until([&] { return scene.set_ups() == 2; }));
+  viewer.say("no JSON\n" + PlatformScene::start(after));
+  REQUIRE(
+      scene.until([&] { return PlatformScene::said(viewer, "FINISH", after); }, 1)); // nothing new is taken
+  StandIn::Asked asked = scene.servers[0]->asked.back();
+  CHECK(scene.servers[0]->torn.empty());
+  RawServer::say(*asked.link, StandIn::answer(tag, 200, "of " + tag));
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "STARTED", tag); }, 1));
+  CHECK(scene.until([&] { return viewer.closed; }, 1));
+  RawPeer &bad = scene.viewer(); // one that no play vouches for is cut, and what it asked for withdrawn
+  bad.say(PlatformScene::start(scene.next_tag()) + "no JSON\n");
+  CHECK(scene.until([&] { return bad.closed; }, 1));
+  CHECK(bad.count("STARTED") == 0);
+}
+
+TEST_CASE("room: neither an unsent answer nor an unread request is closed to make it") {
+  asio::io_context io;
+  jsonlines::Limits limits;
+  limits.connections = 2;
+  limits.unsent_bytes = 64 * 1024 * 1024;
+  std::vector<jsonlines::Server::Id> ids;
+  std::vector<std::string> lines;
+  jsonlines::Server::Events events;
+  events.line = [&](jsonlines::Server::Id id, std::string_view line) {
+    ids.push_back(id), lines.emplace_back(line);
+  };
+  events.closed = [](jsonlines::Server::Id, const char *) {};
+  jsonlines::Server server(io, loopback(), limits, std::move(events));
+  SlowPeer slow(io, server.local()), quiet(io, server.local());
+  slow.say("a\n");
+  REQUIRE(run_until(io, [&] { return ids.size() == 1; }));
+  for (int i = 0; i < 64 && server.unsent() == 0; ++i) {
+    server.send(ids[0], std::string(256 * 1024, 'x') + "\n");
+    run_for(io, 0.002);
+  }
+  REQUIRE(server.unsent() > 0);
+  quiet.say("b\n");
+  REQUIRE(run_until(io, [&] { return ids.size() == 2; }));
+  run_for(io, 0.1); // both settled
+  RawPeer third(io, server.local());
+  std::this_thread::sleep_for(std::chrono::milliseconds(1)); // it is in the backlog
+  quiet.say("c\n"); // unread when room is wanted: the loop has not run since
+  run_for(io, 0.04);
+  CHECK(lines.back() == "c");
+  CHECK(server.counters().room_cut == 0);
+  CHECK(server.connections() == 2);
+  CHECK(run_until(
+      io, [&] { return server.counters().room_cut == 1; }, 1)); // the quiet one, settled again
+  third.say("d\n");
+  CHECK(run_until(
+      io, [&] { return lines.back() == "d"; }, 1));
+  CHECK(server.unsent() > 0); // the slow one is still there
+}
+
+TEST_CASE("a release heard before the play is handed over is told once it is") {
+  for (int cause : {16, 41, 31}) {
+    CAPTURE(cause);
+    PlatformScene scene(1);
+    RawPeer &viewer = scene.viewer();
+    scene.standing(viewer);
+    std::string tag = scene.next_tag();
+    RawServer::say(*scene.servers[0]->asked[0].link,
+                   StandIn::request(tag, "TEARDOWN", {{"Reason", "cause=" + std::to_string(cause)}}));
+    REQUIRE(scene.until([&] { return scene.front->servers().counters().strangers == 1; }));
+    viewer.say(PlatformScene::start(tag, ";at:s-00000001", "7f3a9c21e0b4d655", "4294967"));
+    REQUIRE(scene.until([&] { return scene.front->viewers().counters().handed_over == 1; }));
+    CHECK(scene.until([&] { return scene.open() == 1; }, 1));
+    scene.run(0.05);
+    CHECK(PlatformScene::said(viewer, "FINISH", tag) == (cause != 31)); // ended by its viewer: owed nothing
+  }
+}
+
+TEST_CASE("a play's end that its server may not have heard is said again on another connection") {
+  PlatformScene scene(1);
+  RawPeer &viewer = scene.viewer();
+  auto [server, tag] = scene.standing(viewer);
+  StandIn &at = *server;
+  for (auto &link : at.server.links) { // the connection is reset as the end comes
+    link->socket.set_option(asio::socket_base::linger(true, 0));
+    link->socket.close();
+  }
+  viewer.say(PlatformScene::finish(tag));
+  REQUIRE(scene.until([&] { return scene.open() == 0; }, 1));
+  CHECK(scene.until([&] { return at.torn == std::vector<std::string>{tag}; }, 3));
+  scene.run(1.2);
+  CHECK(at.torn.size() == 1); // once it was heard, not again
+}
+
+TEST_CASE("a set-up given up before its server reads is never sent, and never ran") {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, loopback());
+  acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
+  rtsp::Times times;
+  rtsp::Limits limits;
+  limits.connections = 1, limits.unsent = 64 * 1024 * 1024, limits.set_ups = 100000;
+  rtsp::PeerCounters counters;
+  rtsp::Peer::Events events;
+  std::vector<std::pair<std::uint64_t, rtsp::End>> ends;
+  events.set_up_ended = [&](std::uint64_t session, rtsp::End end, const rtsp::Message *, double) {
+    ends.emplace_back(session, end);
+  };
+  events.request = [](std::uint64_t, const rtsp::Message &) {};
+  events.probed = [](rtsp::End, const rtsp::Message *) {};
+  events.heard = events.up = [] {};
+  events.down = [](rtsp::End, bool) {};
+  events.may_open = [] { return true; };
+  events.stands = [](std::uint64_t) { return false; };
+  rtsp::Peer peer(io, acceptor.local_endpoint(), times, limits, counters, 7, std::move(events));
+  std::string description(15000, 'x');
+  auto ask = [&](std::uint64_t session, double time_out) {
+    peer.set_up({session, "7f3a9c21e0b4d655", "clip", description, 0, time_out});
+  };
+  std::uint64_t last = 0;
+  asio::ip::tcp::socket server(io);
+  ask(++last, 30);
+  acceptor.accept(server);
+  while (last < 1000) ask(++last, 30); // more than its buffers take, on the way all at once
+  run_for(io, 0.1);
+  REQUIRE(peer.unsent() == 0);
+  ask(++last, 30);
+  peer.give_up(last);
+  ask(++last, 0.02); // its time runs out there
+  REQUIRE(run_until(
+      io, [&] { return !ends.empty(); }, 1));
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].first == last);
+  CHECK(rtsp::kEndNames[static_cast<int>(ends[0].second)] == std::string("not_up"));
+  CHECK(counters.recalled_unsent == 2);
+  std::string all; // now the server reads
+  server.non_blocking(true);
+  run_until(
+      io,
+      [&] {
+        char buffer[65536];
+        asio::error_code error;
+        while (std::size_t n = server.read_some(asio::buffer(buffer), error)) all.append(buffer, n);
+        return peer.unsent() == 0;
+      },
+      2);
+  run_for(io, 0.05);
+  char buffer[65536];
+  asio::error_code error;
+  while (std::size_t n = server.read_some(asio::buffer(buffer), error)) all.append(buffer, n);
+  CHECK(all.find("Session: " + given::write_hex16(1)) != std::string::npos);
+  CHECK(all.find("Session: " + given::write_hex16(last)) == std::string::npos);
+  CHECK(all.find("Session: " + given::write_hex16(last - 1)) == std::string::npos);
+}
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -280,12 +280,21 @@
   late.say(R"({"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0})"
            "\n");
   CHECK(scene.until([&] { return late.heard.find("\"rc\":0") != std::string::npos; }, 0.5));
+  scene.servers[0]->how = "silent"; // one in hand holds up the end
+  scene.run(0.4);
+  std::string held = scene.next_tag();
+  viewer.say(PlatformScene::start(held));
+  scene.run(0.3); // past the time in which requests still come
   CHECK_FALSE(done);
-  CHECK(scene.until([&] { return done; }, 1.5));
   std::string too_late = scene.next_tag();
   viewer.say(PlatformScene::start(too_late)); // declined at once, to come back as late as the settings allow
-  CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", too_late); }, 0.5));
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", too_late); }, 0.3));
   CHECK(viewer.heard.find("\"wait\":\"500\"},\"rc\":34") != std::string::npos);
+  CHECK_FALSE(PlatformScene::said(viewer, "FINISH", held));
+  CHECK(scene.until([&] { return PlatformScene::said(viewer, "FINISH", held); }, 1.5));
+  CHECK_FALSE(done);
+  CHECK(scene.until([&] { return done; }, 0.5));
+  CHECK(scene.until([&] { return viewer.closed; }, 0.5)); // the end of what is sent, not a reset
 }
 
 TEST_CASE("a configuration that can't be used names the path; one of another shape is not taken in service") {
