--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -32,6 +32,9 @@
                                      --out ${CMAKE_BINARY_DIR}/days/managed-bad-day)
 set_tests_properties(manage.push manage.bad-day PROPERTIES LABELS days TIMEOUT 120)
 
+# run-ctest itself, which passes over the tests of KNOWN-RED.txt.
+add_test(NAME run-ctest COMMAND ${CMAKE_SOURCE_DIR}/tests/checks-run-ctest)
+
 # Days on loopback: every kind of trouble and the bad day, three seeds each. Mostly waiting, so many run at a time.
 file(GLOB days CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/days/*.cue)
 foreach(day ${days})
