An uplink told as 0 beside a used link is no news; names of the settings stay as they are

Within 0.5 s of the start 8 of 30 servers told x1:0 with cpu over 0.3, never later.

Change: read_report passes over such an uplink (policy.cpp).

They are read as they stand now; control characters are refused by path.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -675,14 +675,17 @@
   void read_report(int index, const LoadReport &report, double as_of) {
     if (index < 0) return;
     Server &server = servers_[at(index)];
-    see_warm(server, report.link ? *report.link : report.link_share.value_or(0));
+    double asked = report.link ? *report.link : report.link_share.value_or(0);
+    see_warm(server, asked);
     if (report.link) {
       hear(server.link, *report.link, as_of);
     } else if (report.link_share) { // capped: at one it only says at least
       hear(server.link, *report.link_share < 0.99 ? *report.link_share : std::max(1.0, server.link.told),
            as_of);
     }
-    if (report.uplink) hear(racks_[at(server.rack)], *report.uplink, as_of);
+    // What the link carries its rack's uplink carries too: an uplink at nothing beside it was not read yet.
+    bool unread = report.uplink && *report.uplink <= 0 && asked > 0;
+    if (report.uplink && !unread) hear(racks_[at(server.rack)], *report.uplink, as_of);
   }
 
   void tally(const Play &play, int plays) {
--- a/src/platform/boot.cpp
+++ b/src/platform/boot.cpp
@@ -85,6 +85,19 @@
   return out;
 }
 
+// Names as they are, whatever they hold: viewers, servers and the list say them so.
+std::vector<std::string> names(const Json &settings, const char *list) {
+  std::vector<std::string> out;
+  auto it = settings.find(list);
+  if (it == settings.end()) return out;
+  if (!it->is_array()) throw bad(std::string("settings.") + list, "a list is due");
+  for (const Json &one : *it) {
+    if (!one.is_string()) throw bad(std::string("settings.") + list, "texts are due");
+    out.push_back(one.get<std::string>());
+  }
+  return out;
+}
+
 double value(const Given &given, const std::string &name) {
   auto it = given.find(name);
   auto found = it == given.end() ? std::nullopt : given::number_of(it->second);
@@ -147,15 +160,17 @@
   out.core.given = given::translate(fields);
   const Given &given = out.core.given;
   out.core.seed = out.seed;
-  out.core.halls = out.places.halls = words(given, given::kHalls);
-  out.core.kinds = out.places.kinds = words(given, given::kKinds);
+  out.core.halls = out.places.halls = names(settings, "areas");
+  out.core.kinds = out.places.kinds = names(settings, "skus");
   if (out.places.kinds.empty()) throw bad("settings", "no kinds of servers are named");
   auto products = static_cast<std::size_t>(value(given, given::kProducts));
   for (std::size_t p = 0; p < products; ++p) {
-    auto name = given.find(given::product_value(p, given::kName));
-    if (name == given.end()) throw bad("settings", "class " + std::to_string(p) + " has no name");
+    std::string path = "settings.classes[" + std::to_string(p) + "].";
+    std::string name = text(at(settings, "settings.", "classes").at(p), path, "name");
+    if (std::ranges::any_of(name, [](char c) { return static_cast<unsigned char>(c) < ' ' || c == 127; }))
+      throw bad(path + "name", "control characters can't be said to servers");
     double limit = value(given, given::product_value(p, given::kTimeLimit));
-    out.core.products.push_back({name->second, limit});
+    out.core.products.push_back({name, limit});
     out.longest_limit = std::max(out.longest_limit, limit);
   }
   if (out.core.products.empty()) throw bad("settings", "no class is named");
--- a/tests/platform/scene.h
+++ b/tests/platform/scene.h
@@ -19,6 +19,7 @@
   RawServer server;
   std::vector<Asked> asked;
   std::vector<std::string> torn, rungs; // sessions
+  std::vector<std::string> tiers;       // of set-ups
   std::string how = "play";             // or what the case says
   std::map<RawServer::Link *, rtsp::Reader> readers;
   explicit StandIn(asio::io_context &io) : server(io) {
@@ -49,6 +50,7 @@
     if (message.method == "SETUP") {
       asked.push_back({&link, session, message.uri.substr(13),
                        std::stoi(std::string(message.find("P-Level").value_or("-1")))});
+      tiers.emplace_back(message.find("X-Tier").value_or(""));
       act(link, session);
     } else if (message.method == "TEARDOWN") {
       torn.push_back(session);
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -354,3 +354,34 @@
   CHECK(all.find("Session: " + given::write_hex16(last)) == std::string::npos);
   CHECK(all.find("Session: " + given::write_hex16(last - 1)) == std::string::npos);
 }
+
+TEST_CASE("names of the settings go through unchanged, whatever they hold") {
+  PlatformScene scene(2);
+  nlohmann::json config = scene.config;
+  config["settings"]["areas"] = {"north, high hall", "hall-a"};
+  config["settings"]["skus"] = {"tall tower, old", "k"};
+  config["settings"]["classes"][0]["name"] = "Foyer-Übersicht, large screen";
+  config["settings"]["family_info"]["kind_slots"] = {40, 40};
+  for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"])
+    target["az"] = "north, high hall", target["model"] = "tall tower, old";
+  restart(scene, config);
+  REQUIRE(scene.until([&] { return !scene.channel.links.empty(); }));
+  RawServer::say(*scene.channel.links.back(),
+                 frame(2, 2, record(scene.written(1, *scene.servers[0], 0)))); // zone 0, kind 0, by place
+  scene.run(0.05);
+  RawPeer &viewer = scene.viewer();
+  std::string tag = scene.next_tag(), line = PlatformScene::start(tag);
+  std::string own = "\"class\":\"clip\"", other = "\"class\":\"Foyer-Übersicht, large screen\"";
+  line.replace(line.find(own), own.size(), other);
+  viewer.say(line);
+  REQUIRE(scene.until([&] { return PlatformScene::said(viewer, "STARTED", tag); }, 1));
+  CHECK(scene.asked().tiers == std::vector<std::string>{"Foyer-Übersicht, large screen"});
+  CHECK(scene.front->core().terms().halls[0] == "north, high hall");
+  for (const auto &server : scene.front->core().list().servers) {
+    CHECK(server.hall == "north, high hall");
+    CHECK(server.kind == "tall tower, old");
+  }
+  config["settings"]["classes"][0]["name"] = "two\r\nlines";
+  CHECK_THROWS_WITH(platform::read_boot(config.dump()),
+                    Catch::Matchers::StartsWith("settings.classes[0].name"));
+}
--- a/tests/test_front.cpp
+++ b/tests/test_front.cpp
@@ -589,3 +589,28 @@
     CHECK((live({{row.name, row.from}}, {{row.name, row.from}}) != started)); // the value does matter
   }
 }
+
+TEST_CASE(
+    "an uplink told at nothing beside a link that carries plays was not read: what was told before holds") {
+  for (double asked : {0.4, 0.01}) {
+    CAPTURE(asked);
+    Scene scene(Given{{"load_fields", "link,uplink"}});
+    auto tell = [&](int server, double link, double uplink) {
+      LoadReport report;
+      report.link = link, report.uplink = uplink;
+      scene.front->probe_answered(server, Outcome::done, report);
+    };
+    for (int s = 0; s < 3; ++s) tell(s, 0.5, 1.5); // the one rack's uplink is overrun
+    scene.heard.lines.clear();
+    scene.ask();
+    REQUIRE(scene.heard.count("decline") == 1);
+    scene.at(100.5);
+    tell(1, asked, 0); // of its link, so of the uplink
+    scene.heard.lines.clear();
+    scene.ask();
+    CHECK(scene.heard.count("decline") == 1);
+    CHECK(scene.front->view_of(1).uplink_use == 1.5);
+    tell(1, 0, 0); // nothing at all is asked of it: an idle uplink, then
+    CHECK(scene.front->view_of(1).uplink_use == 0);
+  }
+}
