--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -195,6 +195,8 @@
   play_over(index, Outcome::recalled);
 }
 
+// After the answer has gone out: a server may end a play in the moment in which it starts, and nothing that
+// is only written down may hold up what its player is told.
 void Core::settle(int index, const char *outcome) {
   HeldPlay &play = plays_.at(index);
   double now = clock_.exact();
@@ -216,14 +218,14 @@
 void Core::decline(int index, double retry_after) {
   HeldPlay &play = plays_.at(index);
   if (play.allocation < 0) play.cause = Cause::no_rung;
-  settle(index, "declined");
   players_.decline(index, retry_after);
+  settle(index, "declined");
   plays_.become(index, PlayState::answered);
 }
 
 void Core::fail(int index) {
-  settle(index, "failed");
   players_.fail(index);
+  settle(index, "failed");
   plays_.become(index, PlayState::answered);
 }
 
@@ -280,8 +282,8 @@
   plays_.become(index, PlayState::playing);
   play.started_at = clock_.now();
   play.cause = Cause::none;
-  settle(index, "plays");
   players_.answer(index, result);
+  settle(index, "plays");
   decide([&] { front_->play_starts(index, allocation, result.took); });
   if (terms_.load_in_answers && result.load.link) note(index, NoteKind::link_asked, *result.load.link);
   if (terms_.load_in_answers && result.load.uplink) note(index, NoteKind::uplink_asked, *result.load.uplink);
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -142,7 +142,7 @@
   }
   void note_decision(double seconds);
   void make_module();
-  void settle(int play, const char *outcome); // counted and logged; the answer goes out next
+  void settle(int play, const char *outcome); // counted and logged; the answer has gone out
   void on_list(ServerList list);
   void on_timer();
   void arm();
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -1,14 +1,44 @@
 // What ends things, at the instant in which something is still owed: each case forces the bad order by steps
 // that wait for one another. The rows are those of docs/endings.md.
+#include "folder.h"
 #include "platform/scene.h"
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+#include <iterator>
+
 using namespace snowshore;
 using namespace snowshore::testing;
 
 namespace {
 
+// Doors that note how much of the log was written when an answer left.
+struct NotingDoors : edge::PlayersDoor, edge::ServersDoor {
+  std::string log_file;
+  edge::Core *core = nullptr;
+  std::vector<std::string> logged; // at each answer
+  int allocated = -1;
+  void note() {
+    std::ifstream in(log_file);
+    logged.emplace_back(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
+  }
+  void answer(int, const edge::SetUpResult &) override { note(); }
+  void decline(int, double) override { note(); }
+  void fail(int) override { note(); }
+  void move(int) override {}
+  void ended(int, Outcome) override {}
+  void forget_play(int) override {}
+  void set_up(int play, const edge::Allocation &) override { allocated = play; }
+  void withdraw(int, std::string_view) override {}
+  void handed_over(int) override {}
+  void step(int, int) override {}
+  void end(int, std::string_view) override {}
+  void probe(int) override {}
+  void listed(int, const edge::ListedServer &) override {}
+  void forget_server(int) override {}
+};
+
 // A viewer's socket that is read only when the case says so, with a small buffer.
 struct SlowPeer {
   asio::ip::tcp::socket socket;
@@ -385,3 +415,34 @@
   CHECK_THROWS_WITH(platform::read_boot(config.dump()),
                     Catch::Matchers::StartsWith("settings.classes[0].name"));
 }
+
+TEST_CASE("an answer goes out before anything is written of it: its server may end the play in that moment") {
+  for (std::string how : {"plays", "declined", "failed"}) {
+    CAPTURE(how);
+    PlatformScene scene(1, how == "failed" ? "unsafe" : "safe");
+    platform::Boot boot = platform::read_boot(scene.config.dump());
+    Folder folder;
+    NotingDoors doors;
+    doors.log_file = folder.name + "/log";
+    telemetry::Log log(doors.log_file);
+    edge::Core core(scene.io, boot.core, log,
+                    std::make_unique<feed::Client>(scene.io, boot.channel, boot.places, boot.known, 1, log),
+                    doors, doors);
+    core.start();
+    REQUIRE(scene.until([&] { return core.has_list(); }));
+    scene.run(0.25); // past the warm-up
+    PlayTerms terms;
+    terms.cells = 1, terms.best_rung = 3;
+    edge::PlayRef ref = core.take(7, "7f3a9c21e0b4d655");
+    core.ask(ref.index, terms);
+    REQUIRE(doors.allocated == ref.index);
+    edge::SetUpResult result;
+    result.started = how == "plays";
+    result.outcome = how == "plays" ? Outcome::done : how == "declined" ? Outcome::busy : Outcome::error;
+    core.set_up_ended(ref, 0, result);
+    REQUIRE(doors.logged.size() == 1);
+    CHECK(doors.logged[0].find("\"event\":\"" + how + "\"") == std::string::npos);
+    doors.note(); // it is written then
+    CHECK(doors.logged[1].find("\"event\":\"" + how + "\"") != std::string::npos);
+  }
+}
