--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -4,9 +4,11 @@
             src/lab/judge.cpp src/lab/load.cpp src/lab/first_holder.cpp src/lab/manage.cpp)
 target_link_libraries(snowshore_lab_parts PUBLIC snowshore_site snowshore_hints snowshore_serverwire snowshore_telemetry
                       snowshore_management Boost::random)
-add_executable(snowshore-lab src/cli/snowshore_lab.cpp)
-target_link_libraries(snowshore-lab PRIVATE snowshore_lab_parts snowshore_front_program)
+include(cmake/soak.cmake)
+add_executable(snowshore-lab src/cli/snowshore_lab.cpp src/cli/soak.cpp)
+target_link_libraries(snowshore-lab PRIVATE snowshore_lab_parts snowshore_soak snowshore_front_program)
 
 if(SNOWSHORE_PROGRAM_DIR)
   set_target_properties(snowshore-lab PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${SNOWSHORE_PROGRAM_DIR})
+  set_target_properties(snowshore_soak_shim PROPERTIES LIBRARY_OUTPUT_DIRECTORY ${SNOWSHORE_PROGRAM_DIR})
 endif()
--- a/src/cli/snowshore_lab.cpp
+++ b/src/cli/snowshore_lab.cpp
@@ -1,4 +1,5 @@
 // snowshore-lab: days against stand-ins, and the judge.
+#include "cli/soak.h"
 #include "lab/first_holder.h"
 #include "lab/judge.h"
 #include "lab/load.h"
@@ -162,12 +163,14 @@
   auto *front = app.add_subcommand("front", "A front with a baseline in the module's place, for measuring");
   front->add_flag("--first-holder", first_holder, "The first listed holder, always")->required();
   front->add_option("--records", records, "Record files")->required()->expected(1, -1);
+  cli::SoakCommand soak(app);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError &error) {
     return app.exit(error) == 0 ? 0 : 2;
   }
   try {
+    if (soak.is_asked_for()) return soak.run(program_beside());
     if (*front) return program::run_edge(records, "lab", lab::make_first_holder);
     if (*measure) {
       load_options.folder = std::filesystem::absolute(folder).string();
