--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -37,6 +37,10 @@
       ->check(CLI::Range(0.1, 60.0));
   command_->add_option("--rate", choices_.rate, "Requests a second at each front end")
       ->check(CLI::Range(0.1, 500.0));
+  command_->add_option("--sockets", choices_.sockets, "Descriptors of a front end")
+      ->check(CLI::Range(64, 4096));
+  command_->add_option("--session", choices_.session, "Mean length of a session, seconds")
+      ->check(CLI::Range(0.1, 600.0));
   command_->add_option("--only", only_, "These faults and no others");
   command_->add_flag("--no-faults", choices_.no_faults, "Traffic alone");
   command_->add_flag("--table", table_, "One line a seed, with what a front end used");
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -60,6 +60,7 @@
   out.memory_mb = chance.whole(48, 128);
   constexpr int kSockets[] = {128, 256, 512};
   out.sockets = kSockets[chance.whole(0, 2)];
+  if (choices.sockets > 0) out.sockets = choices.sockets;
   out.multiplex = chance.whole(4, 32);
   out.attempts = chance.whole(2, 3);
   out.probes = chance.happens(0.7);
@@ -75,6 +76,7 @@
   Traffic out;
   out.rate = choices.rate > 0 ? choices.rate : chance.between(2, 10);
   out.session = chance.between(2, 12);
+  if (choices.session > 0) out.session = choices.session;
   out.set_up = chance.between(0.03, 0.12);
   if (chance.happens(0.3)) {
     out.crowd_at = chance.between(kFirstFault, lasts - kLastFault);
--- a/src/soak/scenario.h
+++ b/src/soak/scenario.h
@@ -99,8 +99,8 @@
 
 // What a caller fixes; 0 or empty: drawn.
 struct Choices {
-  int front_ends = 0, servers = 0;
-  double lasts = 0, core_share = 0, deadline = 0, rate = 0;
+  int front_ends = 0, servers = 0, sockets = 0;
+  double lasts = 0, core_share = 0, deadline = 0, rate = 0, session = 0;
   std::vector<FaultKind> only; // these faults and no others
   bool no_faults = false;
 };
