--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -14,6 +14,13 @@
 add_executable(snowshore_platform_tests tests/test_main.cpp tests/rtsp/test_rtsp.cpp
                tests/jsonlines/test_jsonlines.cpp tests/feed/test_feed.cpp tests/platform/test_platform.cpp
                tests/platform/test_endings.cpp)
+# Many servers: a program of its own, so that each of its cases is a test that KNOWN-RED.txt can name.
+add_executable(snowshore_many_servers_tests tests/test_main.cpp tests/platform/test_many_servers.cpp)
+target_include_directories(snowshore_many_servers_tests PRIVATE tests)
+target_link_libraries(snowshore_many_servers_tests PRIVATE snowshore_platform Catch2::Catch2)
+add_test(NAME many-servers.change COMMAND snowshore_many_servers_tests "many servers: a change*")
+add_test(NAME many-servers.placement COMMAND snowshore_many_servers_tests "many servers: a placement*")
+add_test(NAME many-servers.idle COMMAND snowshore_many_servers_tests "many servers: an idle*")
 target_include_directories(snowshore_platform_tests PRIVATE tests)
 target_link_libraries(snowshore_platform_tests PRIVATE snowshore_platform Catch2::Catch2)
 add_test(NAME snowshore_platform_tests COMMAND snowshore_platform_tests ~[slow])
--- a/tests/platform/scene.h
+++ b/tests/platform/scene.h
@@ -95,7 +95,9 @@
   nlohmann::json config;
   unsigned tags = 0;
 
-  explicit PlatformScene(int count = 2, const char *effect = "safe") {
+  // adapt: the configuration is changed by it before the front end starts.
+  explicit PlatformScene(int count = 2, const char *effect = "safe",
+                         const std::function<void(nlohmann::json &)> &adapt = {}) {
     for (int s = 0; s < count; ++s) servers.push_back(std::make_unique<StandIn>(io));
     auto address = [](const RawServer &server) {
       return "127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port());
@@ -126,6 +128,7 @@
     config["known"] = {
         {"cursor", 1},
         {"cmds", {{{"cursor", 1}, {"nodes", {{"rev", 1}, {"all", true}, {"targets", targets}}}}}}};
+    if (adapt) adapt(config);
     front = std::make_unique<platform::PlatformFront>(io, platform::read_boot(config.dump()), log);
     run(0.25); // past the warm-up
   }
--- /dev/null
+++ b/tests/platform/test_many_servers.cpp
@@ -0,0 +1,74 @@
+// Failures that need thousands of servers: work that grows with the list holds up answers, and requests are
+// lost. Work is counted (servers looked at), not timed.
+#include "platform/scene.h"
+
+#include <catch2/catch.hpp>
+
+using namespace snowshore;
+using namespace snowshore::testing;
+
+namespace {
+
+constexpr int kMany = 1600; // listed servers, in cells of four
+constexpr std::uint32_t kFirstListed = 100;
+
+// A scene whose list holds many servers besides two that answer; nobody listens at the others.
+struct ManyServers : PlatformScene {
+  static constexpr int kCells = kMany / 4;
+  static void list_many(nlohmann::json &config) {
+    config["settings"]["family_info"]["cells"] = kCells;
+    config["settings"]["family_info"]["groups"] = kMany / 8;
+    nlohmann::json &targets = config["known"]["cmds"][0]["nodes"]["targets"];
+    for (int s = 0; s < kMany; ++s)
+      targets.push_back({{"uid", feed::server_name(kFirstListed + static_cast<std::uint32_t>(s))},
+                         {"endpoint", "127.0.0.1:9"},
+                         {"az", "hall-a"},
+                         {"model", "k"},
+                         {"pod_group", 1 + s % (kCells - 1)},
+                         {"state", "active"},
+                         {"capacity_hint", 1},
+                         {"boot_ms", 0}});
+  }
+  ManyServers() : PlatformScene(2, "safe", list_many) {
+    until([&] { return !channel.links.empty(); });
+  }
+  std::string change_of_one(std::uint64_t number, unsigned state) {
+    WrittenServer one{kFirstListed + 7, 9, state, 0, 0, 8, 0};
+    return frame(number, 2, record(one));
+  }
+};
+
+} // namespace
+
+TEST_CASE("many servers: a change of one server costs work for the whole list", "[many]") {
+  ManyServers scene;
+  REQUIRE(scene.until([&] { return scene.front->core().has_list(); }));
+  auto before = scene.front->work();
+  scene.tell(scene.change_of_one(2, 1));
+  REQUIRE(scene.until([&] { return scene.front->core().list_version() == 2; }));
+  auto after = scene.front->work();
+  CHECK(after.for_lists - before.for_lists < 20);
+  CHECK(after.idle - before.idle < 20);
+}
+
+TEST_CASE("many servers: a placement looks at servers that do not hold the title", "[many]") {
+  ManyServers scene;
+  RawPeer &peer = scene.viewer();
+  scene.standing(peer); // connections are up
+  auto before = scene.front->work();
+  std::string tag = scene.next_tag();
+  peer.say(PlatformScene::start(tag));
+  REQUIRE(scene.until([&] { return PlatformScene::said(peer, "STARTED", tag); }));
+  auto after = scene.front->work();
+  CHECK(after.for_placements - before.for_placements < 20);
+}
+
+TEST_CASE("many servers: an idle front end is busy with servers that it has nothing to do with", "[many]") {
+  ManyServers scene;
+  scene.standing(scene.viewer());
+  scene.run(0.5);
+  auto before = scene.front->work();
+  scene.run(1.2);
+  auto after = scene.front->work();
+  CHECK(after.idle - before.idle < 200);
+}
