A change of the list costs work for the servers it names, not for the whole list

Callers saw: with thousands of servers requests answered seconds after their time, and set-ups sent up to 1.5 s after their client had left. Cause: each change copied the whole list, walked it in the core and in the module, compared every id with every other to find who was no longer named, and counted all servers once for each server told (share_descriptors): while it did, nothing else was answered or read. Change: src/registry holds what discovery says of servers and applies changes; the channel hands on what an event says; the module is told of changes and keeps its sums in step; whole lists are applied 128 servers a turn. Why it works: nothing on this path is walked but the change itself.

--- a/cmake/front.cmake
+++ b/cmake/front.cmake
@@ -35,9 +35,14 @@
 add_library(snowshore_site STATIC src/site/front_record.cpp)
 target_link_libraries(snowshore_site PUBLIC snowshore_decision snowshore_records snowshore_http)
 
+add_library(snowshore_registry STATIC src/registry/server_registry.cpp)
+target_include_directories(snowshore_registry SYSTEM PUBLIC ${ASIO_INCLUDE})
+target_compile_definitions(snowshore_registry PUBLIC ASIO_STANDALONE)
+target_link_libraries(snowshore_registry PUBLIC snowshore_decision)
+
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
             src/edge/plays.cpp src/edge/core.cpp src/edge/edge.cpp src/edge/change.cpp src/edge/serve.cpp)
-target_link_libraries(snowshore_edge PUBLIC snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
+target_link_libraries(snowshore_edge PUBLIC snowshore_registry snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
 
 add_library(snowshore_jsonlines STATIC src/jsonlines/message.cpp src/jsonlines/server.cpp)
 target_link_libraries(snowshore_jsonlines PUBLIC snowshore_http PRIVATE nlohmann_json::nlohmann_json)
--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -54,3 +54,9 @@
   endforeach()
   set_tests_properties(day.${name}.1 PROPERTIES COST 10)
 endforeach()
+
+# The fault soak: the reproduction of an incident, and seeds of the whole. Few at a time: each is several processes.
+add_test(NAME soak.list-changes-at-3200-servers
+         COMMAND snowshore-lab soak --seed 5 --front-ends 2 --servers 3200 --lasts 14 --rate 6 --only list_churn
+                 --core-share 0.2 --out ${CMAKE_BINARY_DIR}/soak/many)
+set_tests_properties(soak.list-changes-at-3200-servers PROPERTIES LABELS days TIMEOUT 120)
--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -98,8 +98,9 @@
   int plays;
 };
 
-struct Link { // a server's link or a rack's uplink
-  double capacity = 0;
+struct Link {                           // a server's link or a rack's uplink
+  double given = 0;                     // its capacity, before places are shared out; see capacity()
+  double places = 0;                    // of a server's, none of an uplink
   double told = 0;                      // asked over given, when last told
   double told_at = -1e9;                // the moment the told use is of
   double short_of = 0, short_at = -1e9; // the last told use over one, and when
@@ -144,7 +145,8 @@
     read_given();
     groups_.reserve(kChangesKept + 2);
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
-    for (Link &uplink : racks_) open_link(uplink, uplink_given());
+    for (Link &uplink : racks_) open_link(uplink);
+    open_uplinks();
     if (text("list_mode") == "on_request") answers_.follow_list();
     answers_.set_timer(kReviewEvery, kReview);
   }
@@ -157,29 +159,11 @@
       return;
     }
     if (kind != ListKind::changes) {
-      for (Server &server : servers_) server.listed = false;
+      work_.for_lists += servers_.size();
+      for (Server &server : servers_) set_listed(server, false);
     }
-    work_.for_lists += entries.size() + (kind != ListKind::changes ? servers_.size() : 0);
-    for (const ServerEntry &entry : entries) {
-      if (entry.server >= static_cast<int>(servers_.size()))
-        servers_.resize(at(entry.server) + 1), open_.reserve(servers_.size());
-      Server &server = servers_[at(entry.server)];
-      if (entry.started > 0 && entry.started > server.entry.started) {
-        server.cold_since = std::max(server.cold_since, entry.started);
-        if (server.known) server.strikes = 0, server.avoid_until = now_;
-      }
-      server.entry = entry;
-      server.listed = entry.standing == Standing::active;
-      if (!server.known) open_link(server.link, 0);
-      server.known = true;
-      int rack = entry.cell % static_cast<int>(racks_.size());
-      for (int g = 0; g < products_ * rungs(); ++g) { // plays of ours go with it
-        racks_[at(server.rack)].own[at(g)] -= server.link.own[at(g)];
-        racks_[at(rack)].own[at(g)] += server.link.own[at(g)];
-      }
-      server.rack = rack;
-    }
-    size_links();
+    for (const ServerEntry &entry : entries) take_entry(entry);
+    share_places();
   }
 
   void play_asked(int index, const PlayTerms &terms) override {
@@ -200,7 +184,7 @@
   void play_handed_over(int index, int server, const PlayTerms &terms) override {
     Play &play = take(index, terms);
     if (server >= static_cast<int>(servers_.size())) servers_.resize(at(server) + 1);
-    if (!servers_[at(server)].known) open_link(servers_[at(server)].link, 0);
+    if (!servers_[at(server)].known) open_link(servers_[at(server)].link);
     play.server = server;
     play.rung = lowest(terms.product);
     play.allocations = 1;
@@ -271,8 +255,15 @@
   void given_changed(const Given &given) override {
     given_ = given;
     read_given();
-    for (Link &uplink : racks_) uplink.capacity = uplink_given();
-    size_links();
+    open_uplinks();
+    for (Server &server : servers_) { // at the values of now
+      if (!server.known) continue;
+      bool listed = server.listed;
+      set_listed(server, false);
+      measure(server);
+      set_listed(server, listed);
+    }
+    share_places();
     own_in_all_ = 0; // at the rates of now
     for (const Server &server : servers_) {
       for (std::size_t g = 0; g < server.link.own.size(); ++g)
@@ -335,6 +326,7 @@
     seats_ = list("product_seats");
     kind_places_ = list("kind_places");
     fronts_ = std::max(1.0, number("fronts", 1));
+    link_per_weight_ = number("link_per_weight", 0);
     cells_ = std::max(1, static_cast<int>(number("cells", 1)));
     warm_up_ = number("warm_up", 0);
     may_probe_ = text("load_comes_with") != "none" && number("may_probe", 0) > 0;
@@ -383,7 +375,7 @@
       for (int s : open_) {
         int group = terms.product * rungs() + rung;
         gather(servers_[at(s)].link);
-        double room = servers_[at(s)].link.capacity - demand_;
+        double room = capacity(servers_[at(s)].link) - demand_;
         bool roomier =
             best < 0 || room > best_room || (room == best_room && hash(terms, s) > hash(terms, best));
         if (roomier && fits(servers_[at(s)], group, group_rate(group)))
@@ -423,11 +415,11 @@
 
   // Plays under way. Where a link runs short this front steps down its part of the excess.
   void lower(Link &link) {
-    if (link.capacity <= 0) return; // nothing known of it: what is told of it has no scale
+    if (link.given <= 0) return; // nothing known of it: what is told of it has no scale
     if (now_ - std::max(link.told_at, link.short_at) > kFreshNews) return;
     if (now_ - link.lowered_at < note_delay_ + kShortHolds) return; // until the news shows the last steps
     double own = gather(link, false);
-    double mine = (demand_ - link.capacity * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
+    double mine = (demand_ - capacity(link) * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
     while (mine > 0) {
       int play = pick_step(link, -1);
       if (play < 0) return;
@@ -550,10 +542,10 @@
   }
 
   bool passes(const Link &link, int group, double rate, double strictness = 1, double part = 0) {
-    if (link.capacity <= 0) return true; // nothing known of it
+    if (link.given <= 0) return true; // nothing known of it
     double own = gather(link);
     groups_.push_back({std::max(1.0, part * demand_ / std::max(own, 1.0)), rate, kVariation});
-    return log_overrun_bound(groups_, link.capacity) <=
+    return log_overrun_bound(groups_, capacity(link)) <=
            std::log(kTolerance) * strictness_[at(group)] * strictness;
   }
 
@@ -571,7 +563,7 @@
     double fading = holds_on ? link.short_of : 0;
     if (cautious) fading *= std::exp((link.short_at - now_) / kShortFades);
     double guess = news ? 0 : untold(link, plays); // of others' demand
-    double told = std::max(news ? link.told * link.capacity : own + guess, fading * link.capacity);
+    double told = std::max(news ? link.told * capacity(link) : own + guess, fading * capacity(link));
     if (news) {
       double adders = cautious ? fronts_adding(link) : 1;
       for (const Change &change : link.changes) {
@@ -598,7 +590,7 @@
     double all = is_rack(link) ? rack_capacity_ : link_capacity_;
     if (surge <= 0 || all <= 0 || held_ <= 0) return 0;
     double age = std::clamp(now_ - link.told_at, 0.0, kFreshNews);
-    return surge * (fronts_ - 1) * age * link.capacity / all * own_in_all_ / held_;
+    return surge * (fronts_ - 1) * age * capacity(link) / all * own_in_all_ / held_;
   }
 
   // Fronts that add alike after the same news of a told uplink: own set-ups speak for the others' as far as
@@ -624,21 +616,68 @@
     for (double e : earning_) strictness_.push_back(std::pow(best / e, kThrift));
   }
 
-  // Where weights say nothing, a kind with more places is held to have a link larger in proportion.
-  void size_links() {
-    bool by_places = text("weight_meaning") == "none";
-    double places = 0, listed = 0;
-    work_.for_lists += 2 * servers_.size();
-    for (const Server &server : servers_) {
-      if (server.listed) places += places_of(server), ++listed;
+  void take_entry(const ServerEntry &entry) {
+    ++work_.for_lists;
+    if (entry.server >= static_cast<int>(servers_.size()))
+      servers_.resize(at(entry.server) + 1), open_.reserve(servers_.size());
+    Server &server = servers_[at(entry.server)];
+    if (entry.started > 0 && entry.started > server.entry.started) {
+      server.cold_since = std::max(server.cold_since, entry.started);
+      if (server.known) server.strikes = 0, server.avoid_until = now_;
     }
-    link_capacity_ = rack_capacity_ = 0;
-    for (Server &server : servers_) {
-      double part = by_places && places > 0 ? places_of(server) * listed / places : 1;
-      if (server.known) server.link.capacity = server.entry.weight * part * number("link_per_weight", 0);
-      if (server.listed) link_capacity_ += server.link.capacity;
+    set_listed(server, false); // with what it was listed as
+    server.entry = entry;
+    if (!server.known) open_link(server.link);
+    server.known = true;
+    measure(server);
+    set_listed(server, entry.standing == Standing::active);
+    set_rack(server, entry.cell % static_cast<int>(racks_.size()));
+  }
+
+  // The one place where a server joins or leaves those that are listed; it keeps the sums in step.
+  void set_listed(Server &server, bool listed) {
+    if (server.listed == listed) return;
+    int by = listed ? 1 : -1;
+    server.listed = listed;
+    listed_ += by;
+    listed_places_ += by * server.link.places;
+    listed_capacity_ += by * server.link.given;
+    placed_capacity_ += by * server.link.given * server.link.places;
+  }
+
+  void set_rack(Server &server, int rack) {
+    if (rack == server.rack) return;
+    for (int g = 0; g < products_ * rungs(); ++g) { // plays of ours go with it
+      racks_[at(server.rack)].own[at(g)] -= server.link.own[at(g)];
+      racks_[at(rack)].own[at(g)] += server.link.own[at(g)];
+    }
+    server.rack = rack;
+  }
+
+  // Where weights say nothing, a kind with more places is held to have a link larger in proportion.
+  void share_places() {
+    by_places_ = text("weight_meaning") == "none" && listed_places_ > 0;
+    link_capacity_ =
+        static_cast<double>(by_places_ ? placed_capacity_ * listed_ / listed_places_ : listed_capacity_);
+  }
+
+  double capacity(const Link &link) const {
+    return by_places_ && !is_rack(link)
+               ? link.given * static_cast<double>(link.places * listed_ / listed_places_)
+               : link.given;
+  }
+
+  void measure(Server &server) {
+    server.link.given = server.entry.weight * link_per_weight_;
+    server.link.places = places_of(server);
+  }
+
+  void open_uplinks() {
+    rack_capacity_ = 0;
+    for (Link &uplink : racks_) {
+      uplink.given = uplink_given();
+      rack_capacity_ += uplink.given;
     }
-    for (const Link &rack : racks_) rack_capacity_ += rack.capacity;
   }
 
   double places_of(const Server &server) const {
@@ -658,8 +697,8 @@
     double weight = held_ / kPlaysALink;
     double use =
         (heard * usual.use + weight * own_in_all_ * fronts_ / all + kUnknownUse) / (heard + weight + 1);
-    double expected = held_ * link.capacity / all;
-    return (fronts_ - 1) / fronts_ * use * link.capacity * (kFewPlays + plays) / (kFewPlays + expected);
+    double expected = held_ * capacity(link) / all;
+    return (fronts_ - 1) / fronts_ * use * capacity(link) * (kFewPlays + plays) / (kFewPlays + expected);
   }
 
   bool is_rack(const Link &link) const {
@@ -736,7 +775,7 @@
   // Use that this front's own plays don't explain takes a cold server's pace most of its warm-up to build.
   void see_warm(Server &server, double asked) {
     double own = gather(server.link);
-    if (asked * server.link.capacity - own > kWarmProof * server.link.capacity) server.seen_warm = true;
+    if (asked * capacity(server.link) - own > kWarmProof * capacity(server.link)) server.seen_warm = true;
   }
 
   // Rule: a cold server is never pushed over by all fronts together. A front keeps to its part of the least
@@ -848,8 +887,7 @@
     return play;
   }
 
-  void open_link(Link &link, double capacity) {
-    link.capacity = capacity;
+  void open_link(Link &link) {
     link.own.assign(at(products_ * rungs()), 0);
     link.changes.reserve(kChangesKept);
   }
@@ -900,7 +938,11 @@
   std::vector<int> seats_held_, waiting_, placing_; // by title and product; plays whose holders were asked
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
-  double demand_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0;
+  double demand_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0,
+         link_per_weight_ = 0;
+  long double listed_capacity_ = 0, placed_capacity_ = 0, listed_places_ = 0; // sums over listed servers
+  int listed_ = 0;
+  bool by_places_ = false;
   std::array<Usual, 2> usual_; // of links, of uplinks
   Pace rush_{kRushOver}, usual_rush_{kUsualOver};
 };
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr double kGuardEvery = 0.01;
-constexpr double kLongCall = 0.005; // seconds
+constexpr double kLongCall = 0.005;        // seconds
+constexpr std::size_t kServersATurn = 128; // of a list, applied before the loop goes on
 
 } // namespace
 
@@ -86,7 +87,8 @@
 void Core::start(std::function<void(Catalogue)> on_catalogue) {
   make_module();
   ListSource::Events events;
-  events.list = [this](ServerList list) { on_list(std::move(list)); };
+  events.list = [this](ServerList list) { on_list(std::move(list), true); };
+  events.changes = [this](ServerList list) { on_list(std::move(list), false); };
   events.catalogue = std::move(on_catalogue);
   events.unavailable = [this](const std::string &why) {
     counters_->list_faults.Increment();
@@ -116,11 +118,12 @@
   kinds_ = {};
   for (const std::string &kind : terms_.kinds) kinds_.index_of(kind);
   front_ = make_(terms_.given, seed_, clock_.now(), *this);
-  if (std::exchange(has_list_, false)) {
-    double taken = list_at_;
-    on_list(list_);
-    list_at_ = taken;
-  }
+  module_has_list_ = false;
+  if (!has_list_) return;
+  std::vector<ServerEntry> entries; // what is known of servers stays
+  for (const ListedServer &one : servers_.list().servers) entries.push_back(entry_of(servers_.find(one.id)));
+  module_has_list_ = true;
+  decide([&] { front_->list_changed(ListKind::held, entries); });
 }
 
 void Core::change(CoreTerms terms) {
@@ -350,7 +353,7 @@
   if (server < 0) return;
   log_.info("server_forgotten", {{"server", servers_.id(server)}});
   servers_door_.forget_server(server);
-  servers_.release(server);
+  servers_.forget(server);
 }
 
 void Core::probe(int server) {
@@ -412,45 +415,81 @@
 
 // ---- The list.
 
-void Core::on_list(ServerList list) {
+void Core::on_list(ServerList list, bool whole) {
+  updates_.push_back({std::move(list), whole});
+  if (!applying_) apply_updates();
+}
+
+// A slice now and the next in a later turn, so that a long list does not hold up what is to be answered.
+void Core::apply_updates() {
+  applying_ = true;
+  std::size_t left = kServersATurn;
+  while (!updates_.empty()) {
+    ListUpdate &update = updates_.front();
+    std::size_t size = std::min(update.said.servers.size() - update.next, kServersATurn);
+    if (size > left) break;
+    left -= size;
+    if (apply_slice(update)) updates_.pop_front();
+  }
+  if (updates_.empty()) {
+    applying_ = false;
+    return;
+  }
+  asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) apply_updates();
+  });
+}
+
+bool Core::apply_slice(ListUpdate &update) {
   double from = telemetry::steady_now();
+  if (update.whole && update.next == 0) servers_.begin_whole();
   std::vector<ServerEntry> entries;
-  servers_listed_ += list.servers.size() + list_.servers.size();
-  for (const ListedServer &one : list.servers) {
-    ServerEntry entry;
-    entry.server = servers_.index_of(one.id);
-    entry.number = one.number.value_or(hash53(one.id));
-    entry.hall = halls_.index_of(one.hall);
-    entry.kind = kinds_.find(one.kind);
-    if (entry.kind < 0) log_.warning("unknown_kind", {{"server", one.id}, {"kind", one.kind}});
-    entry.cell = one.cell;
-    entry.standing = one.standing;
-    entry.weight = one.weight;
-    entry.started = std::min(one.started, clock_.now());
-    servers_door_.listed(entry.server, one);
-    entries.push_back(entry);
-  }
-  for (const ListedServer &before : list_.servers) { // what the whole list no longer names has left
-    bool named = std::ranges::find(list.servers, before.id, &ListedServer::id) != list.servers.end();
-    int server = servers_.find(before.id);
-    if (named || server < 0 || before.standing == Standing::left) continue;
-    ListedServer gone = before;
-    gone.standing = Standing::left;
-    servers_door_.listed(server, gone);
+  auto tell = [&](int server) {
+    servers_door_.listed(server, servers_.at(server));
+    entries.push_back(entry_of(server));
+  };
+  const std::vector<ListedServer> &said = update.said.servers;
+  std::size_t end = std::min(said.size(), update.next + kServersATurn);
+  for (; update.next < end; ++update.next) tell(servers_.apply(said[update.next]));
+  bool done = update.next == said.size();
+  if (done && update.whole) { // what the whole list no longer names has left
+    for (int server : servers_.finish_whole()) tell(server);
   }
-  if (list.version < list_version_)
-    log_.warning("list_older", {{"version", list.version}, {"before", list_version_}});
-  list_version_ = list.version;
+  ListKind kind = std::exchange(module_has_list_, true) ? ListKind::changes : ListKind::held;
+  decide([&] { front_->list_changed(kind, entries); });
+  double took = telemetry::steady_now() - from;
+  update.took += took;
+  note_load(took);
+  if (done) list_in_force(update);
+  return done;
+}
+
+ServerEntry Core::entry_of(int server) {
+  const ListedServer &one = servers_.at(server);
+  ServerEntry entry;
+  entry.server = server;
+  entry.number = one.number.value_or(hash53(one.id));
+  entry.hall = halls_.index_of(one.hall);
+  entry.kind = kinds_.find(one.kind);
+  if (entry.kind < 0) log_.warning("unknown_kind", {{"server", one.id}, {"kind", one.kind}});
+  entry.cell = one.cell;
+  entry.standing = one.standing;
+  entry.weight = one.weight;
+  entry.started = std::min(one.started, clock_.now());
+  return entry;
+}
+
+void Core::list_in_force(const ListUpdate &update) {
+  if (update.said.version < list_version_)
+    log_.warning("list_older", {{"version", update.said.version}, {"before", list_version_}});
+  list_version_ = update.said.version;
   list_at_ = clock_.now();
-  counters_->list_changes.Increment();
-  log_.info("list", {{"version", list.version},
-                     {"servers", list.servers.size()},
-                     {"took", telemetry::steady_now() - from}});
-  bool first = !has_list_;
   has_list_ = true;
-  list_ = std::move(list);
-  decide([&] { front_->list_changed(first ? ListKind::held : ListKind::full, entries); });
-  note_load(telemetry::steady_now() - from);
+  counters_->list_changes.Increment();
+  log_.info("list", {{"version", list_version_},
+                     {"whole", update.whole},
+                     {"servers", update.said.servers.size()},
+                     {"took", update.took}});
 }
 
 // ---- What operators see.
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -8,12 +8,14 @@
 #include "edge/doors.h"
 #include "edge/list_source.h"
 #include "edge/plays.h"
+#include "registry/server_registry.h"
 #include "telemetry/log.h"
 #include "telemetry/loop_clock.h"
 #include "telemetry/metrics.h"
 
 #include <asio.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -65,11 +67,12 @@
   Plays &plays() { return plays_; }
   const std::string &title_of(int play) { return titles_.id(plays_.at(play).title); }
   const std::string &server_id(int server) const { return servers_.id(server); }
+  const registry::ServerRegistry &servers() const { return servers_; }
   int server_of(const std::string &id) const { return servers_.find(id); }
   const CoreTerms &terms() const { return terms_; }
   bool has_list() const { return has_list_; }
   // Servers looked at for changes of the list, by the core alone and by the module for each reason.
-  std::uint64_t servers_listed() const { return servers_listed_; }
+  std::uint64_t servers_listed() const { return servers_.visited(); }
   // Calls on the module and changes of the list: while one runs, nobody is answered.
   struct Load {
     std::uint64_t calls = 0, long_calls = 0; // long: over kLongCall
@@ -108,7 +111,7 @@
   void change(CoreTerms terms); // the module is told; plays in hand keep their terms
   void renew(CoreTerms terms);  // a module made anew; nothing may be in hand
   ServerView view_of(int server);
-  const ServerList &list() const { return list_; }
+  ServerList list() const { return servers_.list(); }
   double list_age() { return has_list_ ? clock_.now() - list_at_ : -1; }
   std::uint64_t list_version() const { return list_version_; }
   double last_allocation() const { return last_allocation_; }
@@ -153,7 +156,17 @@
   void note_load(double seconds);
   void make_module();
   void settle(int play, const char *outcome); // counted and logged; the answer has gone out
-  void on_list(ServerList list);
+  struct ListUpdate {                         // told by the source, applied in slices
+    ServerList said;
+    bool whole = false;
+    std::size_t next = 0; // of said.servers
+    double took = 0;      // seconds, so far
+  };
+  void on_list(ServerList list, bool whole);
+  void apply_updates();
+  bool apply_slice(ListUpdate &update); // true once it is applied in full
+  void list_in_force(const ListUpdate &update);
+  ServerEntry entry_of(int server);
   void on_timer();
   void arm();
   void guard(); // over time limits
@@ -168,14 +181,14 @@
   std::unique_ptr<Counters> counters_;
   std::uint64_t seed_, next_serial_ = 1;
   Plays plays_;
-  IdTable<std::string> servers_;
+  registry::ServerRegistry servers_;
+  std::deque<ListUpdate> updates_;
   HeldTable<std::string> titles_;
   IdTable<std::string> halls_, kinds_;
   Load load_;
-  std::uint64_t list_version_ = 0, servers_listed_ = 0;
+  std::uint64_t list_version_ = 0;
   double list_at_ = 0, last_allocation_ = -1e9;
-  bool has_list_ = false;
-  ServerList list_; // in force
+  bool has_list_ = false, module_has_list_ = false, applying_ = false;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::priority_queue<Limit, std::vector<Limit>, std::greater<>> limits_;
   asio::steady_timer timer_, guard_timer_;
--- a/src/edge/list_source.h
+++ b/src/edge/list_source.h
@@ -3,6 +3,7 @@
 #pragma once
 #include "decision/policy.h"
 #include "http/server.h"
+#include "registry/listed_server.h"
 
 #include <asio.hpp>
 
@@ -15,19 +16,8 @@
 
 namespace snowshore::edge {
 
-struct ListedServer {
-  std::string id, hall, kind;
-  std::optional<std::uint64_t> number; // the same at every front; without one it is made of the id
-  http::Endpoint address;
-  int cell = 0;
-  double weight = 1, started = 0; // started: epoch seconds, 0: long ago
-  Standing standing = Standing::active;
-};
-
-struct ServerList {
-  std::uint64_t version = 0;
-  std::vector<ListedServer> servers;
-};
+using registry::ListedServer;
+using registry::ServerList;
 
 struct TitlePlace { // the cells that hold a title
   int first_cell = 0, cells = 0;
@@ -37,8 +27,9 @@
 class ListSource {
  public:
   struct Events {
-    std::function<void(ServerList)> list;                    // the whole list, in place of the last
-    std::function<void(Catalogue)> catalogue;                // likewise
+    std::function<void(ServerList)> list;     // the whole list, in place of the last
+    std::function<void(ServerList)> changes;  // the servers that changed since; only after a whole list
+    std::function<void(Catalogue)> catalogue; // likewise
     std::function<void(const std::string &why)> unavailable; // the last in hand stays in force
   };
   virtual ~ListSource() = default;
--- a/src/feed/client.cpp
+++ b/src/feed/client.cpp
@@ -37,7 +37,7 @@
   heard_at_ = steady_now();
   asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired()) return;
-    publish();
+    events_.list(list_.release());
     connect();
     watch();
   });
@@ -118,6 +118,8 @@
   case List::Taken::applied:
     ++counters_.events;
     changed_ = true;
+    if (event.whole) changed_servers_.clear(), whole_ = true;
+    changed_servers_.insert(changed_servers_.end(), event.servers.begin(), event.servers.end());
     counters_.passed_over += event.passed_over.size();
     for (const std::string &one : event.passed_over)
       log_.warning("channel_record_passed_over", {{"record", one}});
@@ -134,10 +136,10 @@
   }
 }
 
+// What the events of one piece say, in one call; a whole list takes the place of all before it.
 void Client::publish() {
-  edge::ServerList list = list_.publish();
-  counters_.servers_copied += list.servers.size();
-  events_.list(std::move(list));
+  edge::ServerList said{list_.number(), std::exchange(changed_servers_, {})};
+  (std::exchange(whole_, false) ? events_.list : events_.changes)(std::move(said));
 }
 
 void Client::broken(const char *why) {
--- a/src/feed/client.h
+++ b/src/feed/client.h
@@ -13,7 +13,7 @@
 
 struct Counters {
   std::uint64_t connects = 0, breaks = 0, silences = 0, refused = 0, unreadable = 0, events = 0, repeated = 0,
-                gaps = 0, passed_over = 0, servers_copied = 0;
+                gaps = 0, passed_over = 0;
 };
 
 class Client final : public edge::ListSource {
@@ -54,7 +54,8 @@
   State state_ = State::idle;
   std::uint64_t turn_ = 0; // of the socket: what an older one still brings is passed over
   double heard_at_ = 0, connecting_at_ = 0;
-  bool changed_ = false, gap_ = false;
+  std::vector<edge::ListedServer> changed_servers_; // by the events of the piece in hand
+  bool changed_ = false, whole_ = false, gap_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/feed/frames.cpp
+++ b/src/feed/frames.cpp
@@ -142,18 +142,18 @@
   if (event.number <= number_) return Taken::old;
   if (event.number > number_ + 1 && !event.whole) return Taken::gap;
   number_ = event.number;
+  if (released_) return Taken::applied;
   if (event.whole) servers_.clear();
   for (const edge::ListedServer &one : event.servers) servers_[one.id] = one;
   return Taken::applied;
 }
 
-edge::ServerList List::publish() {
+edge::ServerList List::release() {
   edge::ServerList out;
   out.version = number_;
-  for (auto it = servers_.begin(); it != servers_.end();) {
-    out.servers.push_back(it->second);
-    it = it->second.standing == Standing::left ? servers_.erase(it) : std::next(it);
-  }
+  for (auto &[id, one] : servers_) out.servers.push_back(std::move(one));
+  servers_.clear();
+  released_ = true;
   return out;
 }
 
--- a/src/feed/frames.h
+++ b/src/feed/frames.h
@@ -65,18 +65,19 @@
 std::string server_name(std::uint32_t id); // s-00c41f7a
 std::optional<std::uint32_t> server_number(std::string_view name);
 
-// The list as its events make it; each number is applied once.
+// The list as its events make it, until it is released; which event comes next. Each number is applied once.
 class List {
  public:
   enum class Taken { applied, nothing, old, gap };
   Taken take(const Event &event);
   std::uint64_t number() const { return number_; }
   void start_from(std::uint64_t number) { number_ = number; }
-  // All servers; those that left are told once more and then dropped.
-  edge::ServerList publish();
+  // All servers, handed out; what is applied afterwards is the receiver's to keep.
+  edge::ServerList release();
 
  private:
   std::uint64_t number_ = 0;
+  bool released_ = false;
   std::map<std::string, edge::ListedServer> servers_;
 };
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -41,7 +41,8 @@
 PlatformFront::PlatformFront(asio::io_context &io, Boot boot, telemetry::Log &log)
     : io_(io), boot_(std::move(boot)), log_(log), viewers_(io, boot_, log),
       servers_(io, boot_, log, viewers_),
-      channel_(new feed::Client(io, boot_.channel, boot_.places, boot_.known, boot_.seed, log)),
+      channel_(
+          new feed::Client(io, boot_.channel, boot_.places, std::exchange(boot_.known, {}), boot_.seed, log)),
       core_(io, boot_.core, log, std::unique_ptr<edge::ListSource>(channel_), viewers_, servers_),
       drain_timer_(io), report_timer_(io) {
   viewers_.attach(core_);
@@ -57,8 +58,8 @@
 std::optional<std::string> PlatformFront::change(Boot next) {
   if (auto why = refusal_of(boot_, next)) return why;
   bool given = next.core.given != boot_.core.given;
-  // What stands from the start: the seed, the list in hand and its number.
-  next.seed = boot_.seed, next.core.seed = boot_.core.seed, next.known = boot_.known;
+  // What stands from the start: the seed, and the list in hand, which the channel follows.
+  next.seed = boot_.seed, next.core.seed = boot_.core.seed, next.known = {};
   boot_ = std::move(next);
   viewers_.reload();
   servers_.reload();
@@ -104,7 +105,7 @@
 PlatformFront::Work PlatformFront::work() {
   DecisionWork decision = core_.decision_work();
   Work out;
-  out.for_lists = channel_->counters().servers_copied + core_.servers_listed() + decision.for_lists;
+  out.for_lists = core_.servers_listed() + decision.for_lists;
   out.for_placements = decision.for_placements;
   out.idle = decision.for_reviews + servers_.peer_counters().looks + servers_.counters().servers_walked;
   return out;
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -16,7 +16,7 @@
 
 constexpr double kWatchEvery = 0.1, kStoodStill = 1;
 constexpr double kHandedOverWithin = 8; // the protocol's bound on telling of an end
-constexpr std::size_t kMostEarlyEnds = 1024;
+constexpr std::size_t kMostEarlyEnds = 1024, kMostConnections = 8; // to one server
 
 constexpr std::pair<std::string_view, NoteKind> kNotes[] = {{"delivered", NoteKind::share_delivered},
                                                             {"rung", NoteKind::rung},
@@ -41,11 +41,14 @@
 
 // Evenly over the servers that may be connected to.
 void Servers::share_descriptors() {
-  counters_.servers_walked += sites_.size();
-  auto listed = static_cast<std::size_t>(
-      std::ranges::count_if(sites_, [](const auto &s) { return s && s->entry.standing != Standing::left; }));
   limits_.connections =
-      std::clamp<std::size_t>(boot_.shares.servers / std::max<std::size_t>(listed, 1), 1, 8);
+      std::clamp<std::size_t>(boot_.shares.servers / std::max<std::size_t>(listed_, 1), 1, kMostConnections);
+}
+
+void Servers::count_listed(bool before, bool after) {
+  if (before == after) return;
+  listed_ += after ? 1 : -1;
+  share_descriptors();
 }
 
 void Servers::start() { watch(); }
@@ -70,10 +73,10 @@
   bool moved = one.peer && one.entry.address != entry.address;
   bool restarted = one.peer && entry.started > one.entry.started;
   bool gone = entry.standing == Standing::left;
-  one.entry = entry;
+  count_listed(one.known && one.entry.standing != Standing::left, !gone);
+  one.entry = entry, one.known = true;
   if (moved) one.peer.reset();
   if (!one.peer && !gone) open(server);
-  share_descriptors();
   if (!moved && !restarted && !(gone && (!one.peer || one.peer->open() == 0))) return;
   asio::post(io_, [this, server, serial = one.serial, restarted, before = entry.started,
                    alive = std::weak_ptr<bool>(alive_)] {
@@ -111,6 +114,7 @@
 
 void Servers::forget_server(int server) {
   if (!site(server)) return;
+  count_listed(site(server)->known && site(server)->entry.standing != Standing::left, false);
   // It may be the one whose event is being told: it goes after this turn, and is not heard until then.
   if (auto &peer = site(server)->peer) peer->shut();
   asio::post(io_, [gone = std::shared_ptr<Site>(std::move(sites_[static_cast<std::size_t>(server)]))] {});
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -47,8 +47,8 @@
     edge::ListedServer entry;
     std::unique_ptr<rtsp::Peer> peer;
     Liveness life;
-    bool ask_again = false;
-    std::uint64_t serial = 0; // its index may be another's by then
+    bool ask_again = false, known = false; // known: the list has named it
+    std::uint64_t serial = 0;              // its index may be another's by then
     std::uint64_t sent = 0, started = 0, refused = 0, failed = 0, notes = 0; // since the last report
     explicit Site(const LivenessTerms &terms) : life(terms) {}
   };
@@ -62,7 +62,8 @@
     return static_cast<std::size_t>(server) < sites_.size() ? sites_[static_cast<std::size_t>(server)].get()
                                                             : nullptr;
   }
-  void share_descriptors();
+  void share_descriptors(); // of those for servers, over those that may be connected to
+  void count_listed(bool before, bool after);
   void open(int server);
   void set_up_ended(int server, std::uint64_t session, rtsp::End end, const rtsp::Message *message,
                     double took);
@@ -88,6 +89,7 @@
   std::vector<std::unique_ptr<Site>> sites_; // by server
   std::deque<EarlyEnd> early_ends_;
   std::uint64_t next_serial_ = 1;
+  std::size_t listed_ = 0; // that have not left
   double watched_at_ = 0;
   asio::steady_timer watch_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
