A placement looks at the servers that hold its title, not at all servers

Callers saw: each request cost two walks over the whole list. Cause: find_open counted listed and avoided servers and tried every one against the title's cells. Change: listed servers are kept by cell, those avoided in a list of their own; the choice itself is the same (it never depended on the order).

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <stdexcept>
 #include <string_view>
+#include <utility>
 
 namespace snowshore {
 
@@ -122,6 +123,7 @@
 struct Server {
   ServerEntry entry;
   bool listed = false, known = false, seen_warm = false;
+  bool counted_avoided = false; // it stands among those that may be avoided
   Link link;
   int rack = 0, out = 0;  // out: allocations without outcome or start
   std::vector<int> plays; // ours there
@@ -144,6 +146,7 @@
         now_(now), opened_(now) {
     read_given();
     groups_.reserve(kChangesKept + 2);
+    listed_in_.resize(at(cells_));
     racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
     for (Link &uplink : racks_) open_link(uplink);
     open_uplinks();
@@ -308,7 +311,9 @@
         raise(server);
       } else if (server.known && now_ - server.listed_at > kForgetAfter) {
         answers_.forget_server(static_cast<int>(&server - servers_.data()));
+        bool counted = server.counted_avoided;
         server = Server{};
+        server.counted_avoided = counted;
       }
     }
     answers_.set_timer(kReviewEvery, kReview);
@@ -640,6 +645,11 @@
     int by = listed ? 1 : -1;
     server.listed = listed;
     listed_ += by;
+    std::vector<int> &cell = listed_in_[at(cell_of(server.entry.cell))];
+    if (listed)
+      cell.push_back(index_of(server));
+    else
+      std::erase(cell, index_of(server));
     listed_places_ += by * server.link.places;
     listed_capacity_ += by * server.link.given;
     placed_capacity_ += by * server.link.given * server.link.places;
@@ -747,25 +757,39 @@
   // ---- Which servers may be sent to.
   // A symptom that most servers share says more of the front or the network than of them: serve on.
   void find_open(const Play &play) {
-    int listed = 0, avoided = 0;
-    work_.for_placements += 2 * servers_.size();
-    for (const Server &server : servers_) {
-      listed += server.listed;
-      avoided += server.listed && now_ < server.avoid_until;
-    }
-    bool heed = avoided * 3 < listed * 2 || listed < 3;
+    bool heed = count_avoided() * 3 < listed_ * 2 || listed_ < 3;
     open_.clear();
-    for (int s = 0; s < static_cast<int>(servers_.size()); ++s) {
-      if (open_to(s, play, heed)) open_.push_back(s);
+    int first = cell_of(play.terms.first_cell);
+    for (int c = 0; c < std::min(play.terms.cells, cells_); ++c) {
+      for (int s : listed_in_[at((first + c) % cells_)]) {
+        ++work_.for_placements;
+        if (open_to(s, play, heed)) open_.push_back(s);
+      }
     }
   }
 
+  int cell_of(int cell) const { return (cell % cells_ + cells_) % cells_; }
+
+  int count_avoided() { // of those listed; the others are let go of
+    std::erase_if(avoided_, [&](int s) {
+      ++work_.for_placements;
+      Server &server = servers_[at(s)];
+      if (now_ < server.avoid_until) return false;
+      server.counted_avoided = false;
+      return true;
+    });
+    return static_cast<int>(std::ranges::count_if(avoided_, [&](int s) { return servers_[at(s)].listed; }));
+  }
+
+  void avoid(Server &server, double until) {
+    if (!std::exchange(server.counted_avoided, true)) avoided_.push_back(index_of(server));
+    server.avoid_until = until;
+  }
+
   bool open_to(int s, const Play &play, bool heed) const {
     const Server &server = servers_[at(s)];
     if (!server.listed) return false;
     if (heed && (now_ < server.avoid_until || (server.strikes > 0 && server.out > 0))) return false;
-    int steps = (server.entry.cell - play.terms.first_cell) % cells_;
-    if ((steps < 0 ? steps + cells_ : steps) >= play.terms.cells) return false;
     for (int i = 0; i < std::min(play.allocations, static_cast<int>(play.tried.size())); ++i) {
       if (play.tried[at(i)] == s) return false;
     }
@@ -822,11 +846,11 @@
       return;
     }
     if (play.state != PlayState::playing) see_answer(server);
-    if (outcome == Outcome::busy) server.avoid_until = std::max(server.avoid_until, now_ + kFirstAvoid);
+    if (outcome == Outcome::busy) avoid(server, std::max(server.avoid_until, now_ + kFirstAvoid));
   }
 
   void strike(Server &server) {
-    server.avoid_until = now_ + std::min(kLongestAvoid, kFirstAvoid * std::exp2(server.strikes));
+    avoid(server, now_ + std::min(kLongestAvoid, kFirstAvoid * std::exp2(server.strikes)));
     ++server.strikes;
   }
 
@@ -861,10 +885,11 @@
   void probe(Server &server) {
     if (!may_probe_ || now_ - server.probed_at < kProbeRest) return;
     server.probed_at = now_;
-    answers_.probe(static_cast<int>(&server - servers_.data()));
+    answers_.probe(index_of(server));
   }
 
   // ---- Small helpers.
+  int index_of(const Server &server) const { return static_cast<int>(&server - servers_.data()); }
   static std::size_t at(int i) { return static_cast<std::size_t>(i); }
   int highest(const PlayTerms &terms) const {
     return std::min({terms.best_rung, static_cast<int>(tops_[at(terms.product)]), rungs() - 1});
@@ -934,6 +959,8 @@
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
+  std::vector<std::vector<int>> listed_in_;         // servers, by cell
+  std::vector<int> avoided_;                        // servers; some that are not avoided any more
   std::vector<int> open_;                           // servers that the play in hand may be sent to
   std::vector<int> seats_held_, waiting_, placing_; // by title and product; plays whose holders were asked
   std::vector<double> taken_at_, further_at_;
