Idle work is for servers that hold sessions or connections, not for all that are listed

Callers saw: a front end with thousands of listed servers was busy without any request, and answers waited behind that. Cause: a timer each for every listed server (ten looks a second), walks over all of them for each connection, ten times a second and at each review, and a log line for each every five seconds. Change: a peer is made when there is something to say and goes when there is nothing; one watch looks at those; sessions are kept by server; the review walks occupied and departed servers; the log has totals, and a line where a server with sessions changes. A server whose address moves ends its set-ups with an outcome (they had none before). The case of a shut peer asks for the look that the peer no longer makes by itself.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -2,6 +2,7 @@
 // Called through policy.h: clock() first, then one call for each thing that happened; answers go out through
 // Answers during the call. place() is the ordinary path of a play, top to bottom; the rest feeds it.
 #include "decision/policy.h"
+#include "decision/sorted_indices.h"
 
 #include <algorithm>
 #include <array>
@@ -163,7 +164,12 @@
     }
     if (kind != ListKind::changes) {
       work_.for_lists += servers_.size();
-      for (Server &server : servers_) set_listed(server, false);
+      for (Server &server : servers_) {
+        if (!server.listed) continue;
+        set_listed(server, false);
+        server.listed_at = now_;
+        departed_.add(index_of(server));
+      }
     }
     for (const ServerEntry &entry : entries) take_entry(entry);
     share_places();
@@ -301,22 +307,7 @@
       }
       placing_.clear();
     }
-    if (label != kReview) return;
-    for (Link &rack : racks_) lower(rack);
-    work_.for_reviews += servers_.size();
-    for (Server &server : servers_) {
-      if (server.listed) server.listed_at = now_;
-      if (!server.plays.empty()) {
-        lower(server.link);
-        raise(server);
-      } else if (server.known && now_ - server.listed_at > kForgetAfter) {
-        answers_.forget_server(static_cast<int>(&server - servers_.data()));
-        bool counted = server.counted_avoided;
-        server = Server{};
-        server.counted_avoided = counted;
-      }
-    }
-    answers_.set_timer(kReviewEvery, kReview);
+    if (label == kReview) review();
   }
 
  private:
@@ -418,15 +409,56 @@
     return true;
   }
 
+  // Plays under way, and servers that have left long ago; by the servers that either concerns.
+  void review() {
+    SortedIndices racks;
+    for (int s : occupied_) racks.add(servers_[at(s)].rack);
+    for (int rack : racks) lower(racks_[at(rack)], servers_at(rack));
+    for (int s : occupied_) {
+      ++work_.for_reviews;
+      Server &server = servers_[at(s)];
+      lower(server.link, std::span(&s, 1));
+      raise(server);
+    }
+    forget_departed();
+    answers_.set_timer(kReviewEvery, kReview);
+  }
+
+  std::span<const int> servers_at(int rack) { // with plays of ours
+    at_rack_.clear();
+    for (int s : occupied_) {
+      ++work_.for_reviews;
+      if (servers_[at(s)].rack == rack) at_rack_.push_back(s);
+    }
+    return at_rack_;
+  }
+
+  void forget_departed() {
+    forgotten_.clear();
+    for (int s : departed_) {
+      ++work_.for_reviews;
+      const Server &server = servers_[at(s)];
+      if (server.plays.empty() && now_ - server.listed_at > kForgetAfter) forgotten_.push_back(s);
+    }
+    for (int s : forgotten_) {
+      departed_.remove(s);
+      answers_.forget_server(s);
+      Server &server = servers_[at(s)];
+      bool counted = server.counted_avoided;
+      server = Server{};
+      server.counted_avoided = counted;
+    }
+  }
+
   // Plays under way. Where a link runs short this front steps down its part of the excess.
-  void lower(Link &link) {
+  void lower(Link &link, std::span<const int> its_servers) {
     if (link.given <= 0) return; // nothing known of it: what is told of it has no scale
     if (now_ - std::max(link.told_at, link.short_at) > kFreshNews) return;
     if (now_ - link.lowered_at < note_delay_ + kShortHolds) return; // until the news shows the last steps
     double own = gather(link, false);
     double mine = (demand_ - capacity(link) * kShortFrom) * std::min(1.0, own / std::max(demand_, 1.0));
     while (mine > 0) {
-      int play = pick_step(link, -1);
+      int play = pick_step(its_servers, -1);
       if (play < 0) return;
       int group = group_of(plays_[at(play)]);
       double less = group_rate(group) - group_rate(group - 1);
@@ -441,13 +473,15 @@
   // same, so each steps by the chance at which all plays there together, were they to do so, still pass.
   void raise(Server &server) {
     // On old news it asks, where it may; with none to be had it steps once, by what is usual.
+    const int own = index_of(server);
+    std::span<const int> its_servers(&own, 1);
     bool old = now_ - server.link.told_at > kFreshNews;
-    if (old && may_probe_ && now_ - server.probed_at > kStepProbe && pick_step(server.link, 1) >= 0)
+    if (old && may_probe_ && now_ - server.probed_at > kStepProbe && pick_step(its_servers, 1) >= 0)
       probe(server);
     if ((old && server.link.told_at > 0) || server.link.told_at <= server.raised_at) return;
     server.raised_at = server.link.told_at;
     for (int raised = 0; raised < kRaises; ++raised) {
-      int index = pick_step(server.link, 1);
+      int index = pick_step(its_servers, 1);
       if (index < 0) return;
       int low = plays_[at(index)].rung, rung = low;
       int from = group_of(plays_[at(index)]);
@@ -463,14 +497,14 @@
     }
   }
 
-  // The play of ours on this link whose step earns most for its rate (up) or loses least (down); of equals
-  // the one of the lowest index.
-  int pick_step(const Link &link, int by) {
+  // The play of ours at these servers whose step earns most for its rate (up) or loses least (down); of
+  // equals the one of the lowest index.
+  int pick_step(std::span<const int> its_servers, int by) {
     int best = -1;
     double best_earning = 0;
-    work_.for_reviews += servers_.size();
-    for (const Server &server : servers_) {
-      if (server.plays.empty() || (&server.link != &link && &racks_[at(server.rack)] != &link)) continue;
+    for (int s : its_servers) {
+      ++work_.for_reviews;
+      const Server &server = servers_[at(s)];
       for (int p : server.plays) {
         const Play &play = plays_[at(p)];
         if (play.state != PlayState::playing || now_ - play.stepped_at < kStepRest) continue;
@@ -516,12 +550,14 @@
       seat(play.terms) += is_out ? 1 : -1;
       std::vector<int> &there = servers_[at(play.server)].plays;
       if (is_out) {
+        occupied_.add(play.server);
         play.place = there.size();
         there.push_back(index);
       } else { // the last takes its place
         plays_[at(there.back())].place = play.place;
         there[play.place] = there.back();
         there.pop_back();
+        if (there.empty()) occupied_.remove(play.server);
       }
     }
     if (play.server >= 0)
@@ -630,12 +666,19 @@
       server.cold_since = std::max(server.cold_since, entry.started);
       if (server.known) server.strikes = 0, server.avoid_until = now_;
     }
+    bool was_listed = server.listed, first_heard = !server.known;
     set_listed(server, false); // with what it was listed as
     server.entry = entry;
     if (!server.known) open_link(server.link);
     server.known = true;
     measure(server);
     set_listed(server, entry.standing == Standing::active);
+    if (server.listed) {
+      departed_.remove(entry.server);
+    } else {
+      departed_.add(entry.server);
+      if (was_listed || first_heard) server.listed_at = now_;
+    }
     set_rack(server, entry.cell % static_cast<int>(racks_.size()));
   }
 
@@ -959,9 +1002,11 @@
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
-  std::vector<std::vector<int>> listed_in_;         // servers, by cell
-  std::vector<int> avoided_;                        // servers; some that are not avoided any more
-  std::vector<int> open_;                           // servers that the play in hand may be sent to
+  SortedIndices occupied_, departed_;       // servers with plays of ours; known servers that are not listed
+  std::vector<int> at_rack_, forgotten_;    // of the review in hand
+  std::vector<std::vector<int>> listed_in_; // servers, by cell
+  std::vector<int> avoided_;                // servers; some that are not avoided any more
+  std::vector<int> open_;                   // servers that the play in hand may be sent to
   std::vector<int> seats_held_, waiting_, placing_; // by title and product; plays whose holders were asked
   std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
--- a/src/decision/sorted_indices.h
+++ b/src/decision/sorted_indices.h
@@ -1,5 +1,5 @@
-// A set of small indices in rising order, for sets that are walked often and change less. Adding or taking one out
-// costs a move of those behind it; memory grows to the most that were held at a time.
+// A set of small indices in rising order, for sets that are walked often and change less. Adding or taking
+// one out costs a move of those behind it; memory grows to the most that were held at a time.
 #pragma once
 #include <algorithm>
 #include <vector>
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -335,12 +335,12 @@
 void Core::server_lost(int server, const char *why, double before) {
   counters_->lost_servers.Increment();
   log_.warning("server_lost", {{"server", servers_.id(server)}, {"cause", why}});
-  plays_.each([&](int index) {
-    HeldPlay &play = plays_.at(index);
-    if (play.state != PlayState::playing || play.server != server || play.started_at >= before) return;
+  auto there = plays_.playing_at(server);
+  for (int index : std::vector(there.begin(), there.end())) { // a copy: they end one by one
+    if (plays_.at(index).started_at >= before) continue;
     count_ended("server_lost");
     play_over(index, Outcome::reset);
-  });
+  }
 }
 
 void Core::forget(int index) {
--- a/src/edge/plays.cpp
+++ b/src/edge/plays.cpp
@@ -82,6 +82,7 @@
   if (!allowed(play.state, next))
     throw std::logic_error("play " + std::to_string(play.id) + " cannot go from " + name_of(play.state) +
                            " to " + name_of(next));
+  if ((play.state == S::playing) != (next == S::playing)) keep_by_server(index, next == S::playing);
   if (play.state != S::vacant) --counts_[static_cast<std::size_t>(play.state)];
   if (next != S::vacant) ++counts_[static_cast<std::size_t>(next)];
   play.state = next;
@@ -91,4 +92,22 @@
   vacant_.push_back(index);
 }
 
+void Plays::keep_by_server(int index, bool plays) {
+  HeldPlay &play = at(index);
+  if (play.server < 0) return;
+  auto place = static_cast<std::size_t>(play.server);
+  if (place >= playing_at_.size()) playing_at_.resize(place + 1);
+  std::vector<int> &there = playing_at_[place];
+  if (plays) {
+    play.place = there.size();
+    there.push_back(index);
+    servers_with_plays_.add(play.server);
+    return;
+  }
+  at(there.back()).place = play.place; // the last takes its place
+  there[play.place] = there.back();
+  there.pop_back();
+  if (there.empty()) servers_with_plays_.remove(play.server);
+}
+
 } // namespace snowshore::edge
--- a/src/edge/plays.h
+++ b/src/edge/plays.h
@@ -2,10 +2,12 @@
 // table of states stands in docs/architecture.md; become() is the one place where a state changes.
 #pragma once
 #include "decision/policy.h"
+#include "decision/sorted_indices.h"
 
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +41,7 @@
   double asked_at = 0, limit_at = 0, started_at = 0;
   double added = 0, resumed_at = 0; // the front's own time so far; when it last took the play in hand
   Cause cause = Cause::none;
+  std::size_t place = 0; // among those that play at its server
 };
 
 class Plays {
@@ -50,6 +53,12 @@
   std::size_t open() const { return by_id_.size(); }
   std::size_t places() const { return plays_.size(); }
   std::size_t count(PlayState state) const { return counts_[static_cast<std::size_t>(state)]; }
+  // Those that play at this server, and the servers at which any do.
+  std::span<const int> playing_at(int server) const {
+    auto place = static_cast<std::size_t>(server);
+    return place < playing_at_.size() ? std::span<const int>(playing_at_[place]) : std::span<const int>();
+  }
+  const SortedIndices &servers_with_plays() const { return servers_with_plays_; }
   template <class F> void each(F f) { // f may change states
     for (std::size_t i = 0; i < plays_.size(); ++i) {
       if (plays_[i].state != PlayState::vacant) f(static_cast<int>(i));
@@ -57,7 +66,11 @@
   }
 
  private:
+  void keep_by_server(int index, bool plays);
+
   std::vector<HeldPlay> plays_;
+  std::vector<std::vector<int>> playing_at_; // plays, by server
+  SortedIndices servers_with_plays_;
   std::vector<int> vacant_;
   std::unordered_map<std::uint64_t, int> by_id_;
   std::array<std::size_t, kPlayStates> counts_{};
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -53,13 +53,6 @@
 
 void Servers::start() { watch(); }
 
-std::size_t Servers::connections() const {
-  std::size_t sum = 0;
-  counters_.servers_walked += sites_.size();
-  for (const auto &one : sites_) sum += one && one->peer ? one->peer->connections() : 0;
-  return sum;
-}
-
 // ---- The list.
 
 void Servers::listed(int server, const edge::ListedServer &entry) {
@@ -70,13 +63,21 @@
     sites_[place]->serial = next_serial_++;
   }
   Site &one = *sites_[place];
-  bool moved = one.peer && one.entry.address != entry.address;
-  bool restarted = one.peer && entry.started > one.entry.started;
+  bool moved = one.known && one.entry.address != entry.address;
+  bool restarted = one.known && entry.started > one.entry.started;
   bool gone = entry.standing == Standing::left;
   count_listed(one.known && one.entry.standing != Standing::left, !gone);
   one.entry = entry, one.known = true;
-  if (moved) one.peer.reset();
-  if (!one.peer && !gone) open(server);
+  if (moved && one.peer) {
+    one.peer->end_all(); // its set-ups are not answered there any more
+    drop_peer(server);
+  }
+  if (plays_at(server) == 0) return;
+  log_.info("server_changed", {{"server", entry.id},
+                               {"standing", static_cast<int>(entry.standing)},
+                               {"moved", moved},
+                               {"restarted", restarted},
+                               {"plays", plays_at(server)}});
   if (!moved && !restarted && !(gone && (!one.peer || one.peer->open() == 0))) return;
   asio::post(io_, [this, server, serial = one.serial, restarted, before = entry.started,
                    alive = std::weak_ptr<bool>(alive_)] {
@@ -88,8 +89,21 @@
   });
 }
 
+rtsp::Peer *Servers::peer_of(int server) {
+  Site *one = site(server);
+  if (!one) return nullptr;
+  if (!one->peer && one->entry.standing != Standing::left) open(server);
+  return one->peer.get();
+}
+
+void Servers::drop_peer(int server) {
+  site(server)->peer.reset();
+  with_peer_.remove(server);
+}
+
 void Servers::open(int server) {
   Site &one = *site(server);
+  with_peer_.add(server);
   rtsp::Peer::Events events;
   events.set_up_ended = [this, server](std::uint64_t session, rtsp::End end, const rtsp::Message *message,
                                        double took) { set_up_ended(server, session, end, message, took); };
@@ -117,6 +131,7 @@
   count_listed(site(server)->known && site(server)->entry.standing != Standing::left, false);
   // It may be the one whose event is being told: it goes after this turn, and is not heard until then.
   if (auto &peer = site(server)->peer) peer->shut();
+  with_peer_.remove(server);
   asio::post(io_, [gone = std::shared_ptr<Site>(std::move(sites_[static_cast<std::size_t>(server)]))] {});
 }
 
@@ -136,33 +151,20 @@
 // All connections to servers are in use: one goes that carries no set-up, of a server without plays of ours
 // before one that says something.
 bool Servers::make_room() {
-  std::vector<int> plays = playing();
   for (bool with_plays : {false, true}) {
-    counters_.servers_walked += sites_.size();
-    for (std::size_t s = 0; s < sites_.size(); ++s) {
-      bool spare = sites_[s] && sites_[s]->peer && (plays[s] > 0) == with_plays;
-      if (spare && (!with_plays || sites_[s]->peer->open() > 1) && sites_[s]->peer->drop_idle()) return true;
+    for (int s : with_peer_) {
+      ++counters_.servers_walked;
+      rtsp::Peer &peer = *site(s)->peer;
+      bool spare = (plays_at(s) > 0) == with_plays && (!with_plays || peer.open() > 1);
+      if (spare && peer.drop_idle()) return true;
     }
   }
   return false;
 }
 
-std::vector<int> Servers::playing() const { // plays that stand, by server
-  std::vector<int> plays(sites_.size());
-  counters_.servers_walked += sites_.size();
-  core_->plays().each([&](int play) {
-    const HeldPlay &held = core_->plays().at(play);
-    if (held.state == PlayState::playing) ++plays[static_cast<std::size_t>(held.server)];
-  });
-  return plays;
-}
-
 void Servers::lost(int server, const char *why, std::uint64_t &counter, double before) {
-  bool any = false;
-  core_->plays().each([&](int play) {
-    const HeldPlay &held = core_->plays().at(play);
-    any = any || (held.state == PlayState::playing && held.server == server && held.started_at < before);
-  });
+  bool any = std::ranges::any_of(core_->plays().playing_at(server),
+                                 [&](int play) { return core_->plays().at(play).started_at < before; });
   if (!any) return;
   ++counter;
   core_->server_lost(server, why, before);
@@ -177,40 +179,47 @@
     double now = core_->clock().now();
     // A front that stood still itself has not listened: what servers said meanwhile is read first.
     bool stood_still = now - std::exchange(watched_at_, now) > kStoodStill;
-    std::vector<int> plays = playing();
-    counters_.servers_walked += plays.size();
-    for (std::size_t s = 0; s < plays.size(); ++s) {
-      if (plays[s] == 0 || !sites_[s]) continue;
-      if (stood_still) sites_[s]->life.heard(now);
-      Site &one = *sites_[s];
-      if (!one.peer) {
-        lost(static_cast<int>(s), "gone", counters_.lost_gone);
-        continue;
-      }
-      bool gone = one.entry.standing == Standing::left; // its address may be another's
-      if (std::exchange(one.ask_again, false) && !gone) one.peer->ask();
-      switch (one.life.judge(now, one.peer->open() > 0, !gone)) {
-      case Liveness::Verdict::ask:
-        one.peer->ask();
-        break;
-      case Liveness::Verdict::lost:
-        lost(static_cast<int>(s), "silent", counters_.lost_silent);
-        break;
-      case Liveness::Verdict::well:
-        break;
-      }
+    SortedIndices concerned = core_->plays().servers_with_plays();
+    for (int s : with_peer_) concerned.add(s);
+    for (int s : concerned) {
+      ++counters_.servers_walked;
+      if (!site(s)) continue;
+      if (site(s)->peer) site(s)->peer->look();
+      if (!site(s)) continue; // forgotten by what that brought about
+      if (plays_at(s) > 0)
+        watch_plays(s, stood_still);
+      else if (site(s)->peer && site(s)->peer->is_unused())
+        drop_peer(s);
     }
     watch();
   });
 }
 
+void Servers::watch_plays(int server, bool stood_still) {
+  double now = core_->clock().now();
+  Site &one = *site(server);
+  if (stood_still) one.life.heard(now);
+  rtsp::Peer *peer = peer_of(server);
+  if (!peer) return lost(server, "gone", counters_.lost_gone);
+  bool gone = one.entry.standing == Standing::left; // its address may be another's
+  if (std::exchange(one.ask_again, false) && !gone) peer->ask();
+  switch (one.life.judge(now, peer->open() > 0, !gone)) {
+  case Liveness::Verdict::ask:
+    return peer->ask();
+  case Liveness::Verdict::lost:
+    return lost(server, "silent", counters_.lost_silent);
+  case Liveness::Verdict::well:
+    return;
+  }
+}
+
 // ---- Set-ups.
 
 void Servers::set_up(int play, const edge::Allocation &allocation) {
   const HeldPlay &held = core_->plays().at(play);
   Site *one = site(allocation.server);
-  if (!one || !one->peer || one->entry.standing == Standing::left ||
-      allocation.time_out <= 0) { // provably never sent
+  rtsp::Peer *peer = peer_of(allocation.server);
+  if (!peer || one->entry.standing == Standing::left || allocation.time_out <= 0) { // provably never sent
     asio::post(
         io_, [this, ref = core_->ref(play), number = allocation.number, alive = std::weak_ptr<bool>(alive_)] {
           edge::SetUpResult result;
@@ -227,7 +236,7 @@
   set_up.description = viewers_.description(play);
   set_up.rung = allocation.rung;
   set_up.time_out = allocation.time_out;
-  one->peer->set_up(set_up);
+  peer->set_up(set_up);
 }
 
 void Servers::set_up_ended(int server, std::uint64_t session, rtsp::End end, const rtsp::Message *message,
@@ -280,19 +289,20 @@
 
 void Servers::step(int play, int rung) {
   const HeldPlay &held = core_->plays().at(play);
-  if (Site *one = site(held.server); one && one->peer && one->entry.standing != Standing::left)
-    one->peer->step(held.id, rung);
+  Site *one = site(held.server);
+  if (rtsp::Peer *peer = peer_of(held.server); peer && one->entry.standing != Standing::left)
+    peer->step(held.id, rung);
 }
 
 void Servers::end(int play, std::string_view why) {
   const HeldPlay &held = core_->plays().at(play);
-  if (Site *one = site(held.server); one && one->peer && one->entry.standing != Standing::left)
-    one->peer->release(held.id, why == "moved" ? kCauseMoved : kCauseEnded);
+  Site *one = site(held.server);
+  if (rtsp::Peer *peer = peer_of(held.server); peer && one->entry.standing != Standing::left)
+    peer->release(held.id, why == "moved" ? kCauseMoved : kCauseEnded);
 }
 
 void Servers::probe(int server) {
-  Site *one = site(server);
-  if (one && one->peer) return one->peer->probe();
+  if (rtsp::Peer *peer = peer_of(server)) return peer->probe();
   asio::post(io_, [this, server, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) core_->probe_answered(server, Outcome::unreachable, {});
   });
@@ -342,29 +352,28 @@
 // ---- Belief beside traffic.
 
 void Servers::report() {
-  std::vector<int> plays = playing();
-  counters_.servers_walked += sites_.size();
-  for (std::size_t s = 0; s < sites_.size(); ++s) {
-    if (!sites_[s]) continue;
-    Site &one = *sites_[s];
-    ServerView view = core_->view_of(static_cast<int>(s));
-    log_.info("server", {{"server", one.entry.id},
-                         {"standing", static_cast<int>(one.entry.standing)},
-                         {"plays", plays[s]},
-                         {"believed_plays", view.plays},
-                         {"strikes", view.strikes},
-                         {"avoided", view.avoided},
-                         {"may_be_cold", view.may_be_cold},
-                         {"link", view.link_use},
-                         {"link_age", view.link_age},
-                         {"uplink", view.uplink_use},
-                         {"connections", one.peer ? one.peer->connections() : 0},
-                         {"quiet", std::min(1e6, one.life.quiet_for(core_->clock().now()))},
-                         {"sent", one.sent},
-                         {"started", one.started},
-                         {"refused", one.refused},
-                         {"failed", one.failed},
-                         {"notes", one.notes}});
+  if (!log_.writes(telemetry::Level::debug)) return;
+  for (int s : core_->plays().servers_with_plays()) {
+    ++counters_.servers_walked;
+    Site &one = *site(s);
+    ServerView view = core_->view_of(s);
+    log_.debug("server", {{"server", one.entry.id},
+                          {"standing", static_cast<int>(one.entry.standing)},
+                          {"plays", plays_at(s)},
+                          {"believed_plays", view.plays},
+                          {"strikes", view.strikes},
+                          {"avoided", view.avoided},
+                          {"may_be_cold", view.may_be_cold},
+                          {"link", view.link_use},
+                          {"link_age", view.link_age},
+                          {"uplink", view.uplink_use},
+                          {"connections", one.peer ? one.peer->connections() : 0},
+                          {"quiet", std::min(1e6, one.life.quiet_for(core_->clock().now()))},
+                          {"sent", one.sent},
+                          {"started", one.started},
+                          {"refused", one.refused},
+                          {"failed", one.failed},
+                          {"notes", one.notes}});
     one.sent = one.started = one.refused = one.failed = one.notes = 0;
   }
 }
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -30,8 +30,12 @@
 
   const Counters &counters() const { return counters_; }
   const rtsp::PeerCounters &peer_counters() const { return peer_counters_; }
-  std::size_t connections() const;
-  void report(); // what is believed of each server beside what its sockets carried, into the log
+  std::size_t connections() const { return peer_counters_.connections; }
+  std::size_t listed() const { return listed_; }
+  std::size_t with_peer() const { return with_peer_.size(); }
+  // What is believed of each server with sessions beside what its sockets carried, into the log at level
+  // debug.
+  void report();
 
   void set_up(int play, const edge::Allocation &allocation) override;
   void withdraw(int play, std::string_view why) override;
@@ -64,7 +68,10 @@
   }
   void share_descriptors(); // of those for servers, over those that may be connected to
   void count_listed(bool before, bool after);
+  rtsp::Peer *peer_of(int server); // made where there is none; nothing for a server that has left
   void open(int server);
+  void drop_peer(int server);
+  void watch_plays(int server, bool stood_still);
   void set_up_ended(int server, std::uint64_t session, rtsp::End end, const rtsp::Message *message,
                     double took);
   void request(int server, std::uint64_t session, const rtsp::Message &message);
@@ -74,7 +81,7 @@
   LoadReport load_of(const rtsp::Message &message);
   void watch();
   bool make_room();
-  std::vector<int> playing() const;
+  std::size_t plays_at(int server) const { return core_->plays().playing_at(server).size(); }
 
   asio::io_context &io_;
   const Boot &boot_;
@@ -85,8 +92,9 @@
   rtsp::Limits limits_;
   LivenessTerms liveness_terms_;
   rtsp::PeerCounters peer_counters_;
-  mutable Counters counters_;
+  Counters counters_;
   std::vector<std::unique_ptr<Site>> sites_; // by server
+  SortedIndices with_peer_;                  // servers to which there is something to say, or was lately
   std::deque<EarlyEnd> early_ends_;
   std::uint64_t next_serial_ = 1;
   std::size_t listed_ = 0; // that have not left
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -15,7 +15,6 @@
 
 constexpr double kRetiredStays =
     1; // a retired connection may still bring a late answer that must be released
-constexpr double kLookEvery = 0.1;
 
 using given::write_hex16;
 
@@ -59,14 +58,13 @@
 Peer::Peer(asio::io_context &io, asio::ip::tcp::endpoint at, const Times &times, const Limits &limits,
            PeerCounters &counters, std::uint64_t seed, Events events)
     : io_(io), at_(std::move(at)), times_(times), limits_(limits), counters_(counters), next_probe_(seed | 1),
-      events_(std::move(events)), probe_timer_(io), look_timer_(io) {
-  look();
-}
+      events_(std::move(events)), probe_timer_(io) {}
 
 Peer::~Peer() { shut(); }
 
 void Peer::shut() {
   alive_.reset();
+  counters_.connections -= links_.size();
   for (auto &link : links_) {
     become(*link, State::closed);
     asio::error_code ignored;
@@ -77,6 +75,14 @@
   out_.clear();
 }
 
+void Peer::end_all() {
+  std::weak_ptr<bool> alive = alive_;
+  for (auto &link : std::vector(links_.begin(), links_.end())) {
+    end(link, End::closed);
+    if (alive.expired()) return;
+  }
+}
+
 void Peer::become(Link &link, State next) { link.state = next; } // the one place where it changes
 
 std::size_t Peer::open() const {
@@ -114,7 +120,7 @@
   if (!events_.may_open()) return nullptr;
   auto link = std::make_shared<Link>(io_);
   links_.push_back(link);
-  ++counters_.connects;
+  ++counters_.connects, ++counters_.connections;
   link->used_at = steady_now();
   std::weak_ptr<bool> alive = alive_;
   link->timer.expires_after(span(times_.connect));
@@ -376,6 +382,7 @@
   if (link->state == State::closed) return;
   become(*link, State::closed);
   links_.remove(link);
+  --counters_.connections;
   link->timer.cancel();
   asio::error_code ignored;
   link->socket.close(ignored);
@@ -390,25 +397,20 @@
 
 // Messages that stay half, connections that are done with, and more idle ones than are of use.
 void Peer::look() {
-  look_timer_.expires_after(span(kLookEvery));
-  look_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-    if (error || alive.expired()) return;
-    ++counters_.looks;
-    auto all = std::vector(links_.begin(), links_.end());
-    for (auto &link : all) {
-      double age = steady_now() - link->used_at;
-      if (link->state == State::open && link->partial_since >= 0 &&
-          steady_now() - link->partial_since > times_.whole)
-        end(link, End::unreadable);
-      else if (link->retired && link->set_ups.empty() && steady_now() - link->retired_at > kRetiredStays)
-        end(link, End::closed);
-      else if (link->state == State::open && link->set_ups.empty() && age > times_.idle * 0.9)
-        end(link, End::closed);
-      if (alive.expired()) return;
-    }
-    say_releases();
-    look();
-  });
+  ++counters_.looks;
+  std::weak_ptr<bool> alive = alive_;
+  double now = steady_now();
+  for (auto &link : std::vector(links_.begin(), links_.end())) {
+    bool idle = link->state == State::open && link->set_ups.empty();
+    if (link->state == State::open && link->partial_since >= 0 && now - link->partial_since > times_.whole)
+      end(link, End::unreadable);
+    else if (link->retired && link->set_ups.empty() && now - link->retired_at > kRetiredStays)
+      end(link, End::closed);
+    else if (idle && now - link->used_at > times_.idle * 0.9)
+      end(link, End::closed);
+    if (alive.expired()) return;
+  }
+  say_releases();
 }
 
 } // namespace snowshore::rtsp
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -44,6 +44,7 @@
 struct PeerCounters {
   std::uint64_t connects = 0, set_ups = 0, answers = 0, given_up = 0, late = 0, strangers = 0, no_room = 0,
                 recalled_unsent = 0, releases_again = 0, releases_dropped = 0, looks = 0;
+  std::size_t connections = 0; // under way or up now, to all servers
 };
 
 class Peer {
@@ -77,8 +78,11 @@
   void release(std::uint64_t session, int cause);
   void step(std::uint64_t session, int rung);
   void probe();
-  void ask();       // opens one more connection: does the machine still answer?
+  void ask();  // opens one more connection: does the machine still answer?
+  void look(); // ten times a second: half messages, connections to close, releases to say again
+  bool is_unused() const { return links_.empty() && out_.empty() && releases_.empty() && !probe_; }
   bool drop_idle(); // closes the connection without set-ups that was longest of no use; false: there is none
+  void end_all();   // closes all; each set-up and connection is said to have ended
   void shut();      // closes all; no event comes any more, whatever is still under way
 
  private:
@@ -107,7 +111,6 @@
   void set_up_over(std::uint64_t session, End how, const Message *message);
   void retire(const std::shared_ptr<Link> &link);
   void say_releases();
-  void look();
 
   asio::io_context &io_;
   asio::ip::tcp::endpoint at_;
@@ -123,7 +126,7 @@
   std::array<std::uint64_t, 64> given_up_{}; // the last ones: their late answers are released
   std::size_t given_up_at_ = 0;
   std::uint64_t probe_ = 0; // the session of the test that is out, 0: none
-  asio::steady_timer probe_timer_, look_timer_;
+  asio::steady_timer probe_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/rtsp/test_rtsp.cpp
+++ b/tests/rtsp/test_rtsp.cpp
@@ -138,7 +138,7 @@
   asio::io_context io;
   testing::RawServer server(io);
   rtsp::Times times;
-  times.idle = 0.2; // its own look would close the connection, and tell of it
+  times.idle = 0.2; // a look would close the connection, and tell of it
   rtsp::Limits limits;
   rtsp::PeerCounters counters;
   int events = 0;
@@ -162,5 +162,6 @@
   CHECK(before > 0); // it came up
   peer.shut();
   testing::run_for(io, 0.5);
+  peer.look();
   CHECK(events == before);
 }
