A call to discovery that comes up a second late is waited for

Callers saw: with discovery whose connections always take over half a second no change of the list ever arrived; sessions went to servers that had left. Cause: the client gave a call 0.5 s and then began anew.

--- a/tests/feed/test_feed.cpp
+++ b/tests/feed/test_feed.cpp
@@ -174,3 +174,40 @@
   CHECK(asked_with(other, 1) == big(3, 8));
   CHECK(lists.back().version == 3);
 }
+
+// A listener with a full queue lets a handshake wait until the system tries again, a second later.
+TEST_CASE("the channel: a call that comes up a second late is not given up before") {
+  asio::io_context io;
+  telemetry::Log log("/dev/null");
+  asio::ip::tcp::acceptor channel(io, {asio::ip::address_v4::loopback(), 0});
+  ::listen(channel.native_handle(), 0);
+  std::vector<asio::ip::tcp::socket> fillers;
+  for (int i = 0; i < 3; ++i) {
+    fillers.emplace_back(io);
+    fillers.back().async_connect(channel.local_endpoint(), [](asio::error_code) {});
+  }
+  run_for(io, 0.05);
+  feed::Client client(io, channel.local_endpoint(), kPlaces, feed::List(), 7, log);
+  edge::ListSource::Events events;
+  int changes = 0;
+  events.list = [](edge::ServerList) {};
+  events.changes = [&](edge::ServerList) { ++changes; };
+  events.unavailable = [](const std::string &) {};
+  client.start(std::move(events));
+  run_for(io, 0.8);
+  ::listen(channel.native_handle(), 64); // from now on it comes up
+  std::vector<asio::ip::tcp::socket> calls;
+  std::function<void()> accept = [&] {
+    channel.async_accept([&](asio::error_code error, asio::ip::tcp::socket socket) {
+      if (error) return;
+      calls.push_back(std::move(socket));
+      asio::error_code ignored;
+      asio::write(calls.back(), asio::buffer(frame(1, 2, record(1))), ignored);
+      accept();
+    });
+  };
+  accept();
+  CHECK(run_until(
+      io, [&] { return changes > 0; }, 2));
+  CHECK(client.counters().connects == 1);
+}
