A server that restarts while discovery is down is found out by its silence on sessions

Cause: a connection that breaks proves nothing and the new process answers, so only its list entry told. Result: the new case failed before (no end in 8 s) and passes, with its counterpart, a connection that breaks alone.

--- a/src/platform/liveness.cpp
+++ b/src/platform/liveness.cpp
@@ -20,14 +20,35 @@
 
 void Liveness::not_up(double) { ++failed_; }
 
+void Liveness::spoke(double now, double session_started) {
+  spoke_at_ = now;
+  if (broke_at_ >= 0 && session_started < broke_at_) broke_at_ = -1; // it knows what stood before
+}
+
+// Only a server that spoke regularly can be found out by its silence. A second break while one is open may
+// have taken a word along: the silence counts from it, as long as the protocol's 8 s allow that.
+void Liveness::broke(double now) {
+  if (terms_->speaks_every <= 0) return;
+  double silence = terms_->intervals * terms_->speaks_every;
+  if (broke_at_ < 0) {
+    if (now - spoke_at_ > silence) return;
+    broke_at_ = silent_since_ = now;
+  } else if (now - broke_at_ + silence < terms_->silent_at_most) {
+    silent_since_ = now;
+  }
+}
+
+void Liveness::settle_break() { broke_at_ = -1; }
+
 Liveness::Verdict Liveness::judge(double now, bool connected, bool may_ask) {
   if (heard_at_ < 0) heard_at_ = now; // watched from now on
   if (refused_again_ && !connected) return Verdict::lost;
   double quiet = now - heard_at_;
+  double silence = std::min(terms_->intervals * terms_->speaks_every, terms_->silent_at_most);
+  if (broke_at_ >= 0 && connected && now - silent_since_ > silence) return Verdict::restarted;
   if (quiet > terms_->lost_after && failed_ >= 2) return Verdict::lost;
   if (!may_ask) {
-    double speaks_by =
-        std::max(terms_->lost_after, std::min(1.5 * terms_->speaks_every, terms_->silent_at_most));
+    double speaks_by = std::max(terms_->lost_after, silence);
     return !connected || quiet > speaks_by ? Verdict::lost : Verdict::well;
   }
   bool due = quiet > terms_->ask_after || !connected;
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -145,6 +145,7 @@
   // What it said on that one may be lost; it says its releases again on the next that opens.
   one.ask_again =
       one.ask_again || end == rtsp::End::reset || end == rtsp::End::closed || end == rtsp::End::unreadable;
+  if (last && (end == rtsp::End::reset || end == rtsp::End::closed)) one.life.broke(now);
   if (!last || one.entry.standing != Standing::left) return;
   lost(server, "gone", counters_.lost_gone);
 }
@@ -214,6 +215,16 @@
     return peer->ask();
   case Liveness::Verdict::lost:
     return lost(server, "silent", counters_.lost_silent);
+  case Liveness::Verdict::restarted: {
+    double before = one.life.broke_at();
+    one.life.settle_break();
+    // Notes name one session of several: beside newer ones the silence says nothing of the older.
+    auto plays = core_->plays().playing_at(server);
+    bool newer =
+        std::ranges::any_of(plays, [&](int play) { return core_->plays().at(play).started_at >= before; });
+    if (!newer) lost(server, "restarted_unseen", counters_.lost_restarted, before);
+    return;
+  }
   case Liveness::Verdict::well:
     return;
   }
@@ -249,6 +260,7 @@
                            double took) {
   SetUpEnd how = end_of(end, message);
   Site &one = *site(server);
+  if (how.started) one.life.spoke(core_->clock().now(), core_->clock().now());
   ++(how.started ? one.started : how.outcome == Outcome::busy ? one.refused : one.failed);
   ++counters_.outcomes[static_cast<std::size_t>(how.outcome)];
   int play = core_->plays().find(session);
@@ -336,6 +348,7 @@
     return;
   }
   if (message.method == "ANNOUNCE") {
+    site(server)->life.spoke(core_->clock().now(), core_->plays().at(play).started_at);
     auto name = message.find("X-Outcome"), amount = message.find("P-Amount");
     auto value = amount ? given::number_of(*amount) : std::nullopt;
     auto kind = std::ranges::find(kNotes, name.value_or(""), &std::pair<std::string_view, NoteKind>::first);
--- a/src/soak/front_process.cpp
+++ b/src/soak/front_process.cpp
@@ -56,7 +56,7 @@
   }
   family["cells"] = d.cells, family["kind_slots"] = {d.places}, family["groups"] = d.racks;
   family["ladder_kb"] = {100, 200, 400, 800}, family["worth_by_rung"] = {0.2, 0.5, 0.8, 1.0};
-  family["seen_after"] = 0.5, family["reports_every"] = 1.0, family["link_unit_kb"] = 40000,
+  family["seen_after"] = 0.5, family["reports_every"] = d.notes_every, family["link_unit_kb"] = 40000,
   family["rack_link_kb"] = 0;
   family["full_from"] = 1.2;
   s["family_info"] = family;
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -66,6 +66,7 @@
   out.probes = chance.happens(0.7);
   out.idle_close = chance.between(4, 30);
   out.warm_up = chance.between(5, 10);
+  out.notes_every = chance.between(1, 4);
   out.retry_share = chance.between(0.1, 0.3);
   out.retry_free = chance.whole(2, 8);
   out.classes = draw_classes(chance, choices.deadline);
--- a/src/soak/scenario.h
+++ b/src/soak/scenario.h
@@ -39,6 +39,7 @@
   int memory_mb = 64, sockets = 256, multiplex = 32, attempts = 3;
   bool probes = true;
   double connect_timeout = 0.25, idle_close = 30;
+  double notes_every = 1; // a server with sessions of a front end sends it one note so often
   double drain_grace = 1, places = 40;
   double warm_up = 8, cold_share = 0.5, fall_multiple = 2.5, fall_span = 2;
   double retry_share = 0.2, retry_free = 4, retry_span = 5;
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -177,7 +177,7 @@
   ledger_.attempt_ended(session, index_, false, "served");
   ledger_.session_active(session, index_, description);
   Session &its = sessions_[session];
-  its = {link->front, now() + 0.2 + chance_.exponential(scenario_.traffic.session), link, now()};
+  its = {link->front, now() + 0.2 + chance_.exponential(scenario_.traffic.session), link};
   std::string text = rtsp_answer(id, 1, 200, kGauges, description);
   if (chance_.happens(behaviour.doubled))
     text = rtsp_answer(hex16(chance_.word()), 1, 200, "", "x") + text + text;
@@ -233,8 +233,9 @@
   std::vector<std::uint64_t> over;
   for (auto &[session, its] : sessions_) {
     if (at >= its.ends_at) over.push_back(session);
-    if (behaviour.hangs || at - its.noted_at < kNotesEvery) continue;
-    its.noted_at = at;
+    double &noted_at = noted_at_.try_emplace(its.front, at).first->second;
+    if (behaviour.hangs || at - noted_at < scenario_.deployment.notes_every) continue;
+    noted_at = at;
     if (auto link = open_link(its.front, its.link))
       link->wire->say(rtsp_request("ANNOUNCE", hex16(session), "X-Outcome: link\r\nP-Amount: 0.3\r\n"));
   }
--- a/src/soak/servers.h
+++ b/src/soak/servers.h
@@ -63,7 +63,6 @@
     int front = 0;
     double ends_at = 0;
     std::weak_ptr<Link> link; // of its set-up
-    double noted_at = 0;
   };
   struct Release { // said, or still to be said, and once more on the next connection that is opened
     std::uint64_t session;
@@ -93,6 +92,7 @@
   std::set<LinkRef> links_;
   std::unordered_map<std::uint64_t, Session> sessions_;
   std::vector<Release> releases_;
+  std::map<int, double> noted_at_; // by front end: when it was last sent a note on one of its sessions
   std::uint64_t started_ms_ = 0, life_ = 0, accepted_ = 0;
   bool runs_ = false, gone_silent_ = false;
 };
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -468,3 +468,34 @@
   for (const std::string &tag : tags) CHECK(PlatformScene::said(peer, "FINISH", tag));
   CHECK(peer.closed);
 }
+
+TEST_CASE("a server that restarts unseen by the list leaves its sessions unreleased", "[slow]") {
+  bool restarted = GENERATE(true, false);
+  PlatformScene scene(1); // a note comes each second
+  RawPeer &peer = scene.viewer();
+  auto [server, tag] = scene.standing(peer);
+  auto note = [&, server = server, tag = tag] {
+    for (auto &link : server->server.links) {
+      if (link->closed) continue;
+      RawServer::say(*link, StandIn::request(tag, "ANNOUNCE", {{"X-Outcome", "link"}, {"P-Amount", "0.3"}}));
+      return;
+    }
+  };
+  note();
+  scene.run(0.2);
+  for (auto &link : server->server.links) { // as its process ends; another answers at once at its address
+    asio::error_code ignored;
+    link->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    link->socket.close(ignored);
+    link->closed = true;
+  }
+  if (restarted) {
+    CHECK(scene.until([&, tag = tag] { return PlatformScene::said(peer, "FINISH", tag); }, 8));
+    return;
+  }
+  for (int i = 0; i < 5; ++i) { // it was the connection alone
+    scene.run(0.9);
+    note();
+  }
+  CHECK_FALSE(PlatformScene::said(peer, "FINISH", tag));
+}
