One place says what may be sent, repeated, released, opened or ended now, and counts denials

Cause: the rule on attempts, answers, releases, connections and the exit stood in several places, each right by itself. Change: edge/send_guard.h is asked right before each; it knows what is out on the wire, since when servers leave and when the planned end begins nothing more. A denial is not carried out, is counted (denied in the summary), logged with id and reason, and is a violation for the soak.

--- a/cmake/front.cmake
+++ b/cmake/front.cmake
@@ -41,7 +41,7 @@
 target_link_libraries(snowshore_registry PUBLIC snowshore_decision)
 
 add_library(snowshore_edge STATIC src/edge/list_source.cpp src/edge/channel.cpp
-            src/edge/plays.cpp src/edge/core.cpp src/edge/edge.cpp src/edge/change.cpp src/edge/serve.cpp)
+            src/edge/plays.cpp src/edge/send_guard.cpp src/edge/core.cpp src/edge/edge.cpp src/edge/change.cpp src/edge/serve.cpp)
 target_link_libraries(snowshore_edge PUBLIC snowshore_registry snowshore_site snowshore_hints snowshore_telemetry snowshore_serverwire PRIVATE PkgConfig::XXHASH)
 
 add_library(snowshore_jsonlines STATIC src/jsonlines/message.cpp src/jsonlines/server.cpp)
--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -44,8 +44,7 @@
   command_->add_option("--only", only_, "These faults and no others");
   command_->add_flag("--no-faults", choices_.no_faults, "Traffic alone");
   command_->add_flag("--table", table_, "One line a seed, with what a front end used");
-  command_->add_option("--break", options_.breaks,
-                       "A rule that is broken on purpose, to see that it is found");
+  command_->add_option("--break", breaks_, "A rule that is broken on purpose, to see that it is found");
   command_->add_option("--out", options_.folder, "Folder for configurations and logs; made anew")
       ->capture_default_str();
   command_->add_option("--program", options_.program, "The front end's program (default: beside this one)");
@@ -53,6 +52,7 @@
 
 int SoakCommand::run_seed(std::uint64_t seed) {
   soak::Scenario scenario = soak::draw(seed, choices_);
+  scenario.breaks = breaks_;
   if (!table_) std::printf("%s\n", soak::describe(scenario).c_str());
   std::fflush(stdout);
   soak::RunResult result = soak::run(scenario, options_);
@@ -75,7 +75,7 @@
   if (!result.violations.empty()) {
     std::printf("%s  again: snowshore-lab soak --seed %llu%s\n", result.timelines.c_str(),
                 static_cast<unsigned long long>(seed),
-                options_.breaks.empty() ? "" : (" --break " + options_.breaks).c_str());
+                breaks_.empty() ? "" : (" --break " + breaks_).c_str());
     std::printf("  its own loop was late by %.3f s at worst\n", result.late_by);
   }
   std::fflush(stdout);
--- a/src/cli/soak.h
+++ b/src/cli/soak.h
@@ -23,7 +23,7 @@
   soak::Choices choices_;
   soak::RunOptions options_;
   std::uint64_t seed_ = 1;
-  std::string seeds_;
+  std::string seeds_, breaks_;
   std::vector<std::string> only_;
   bool table_ = false;
 };
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <map>
 #include <random>
@@ -75,15 +76,24 @@
 Core::Core(asio::io_context &io, CoreTerms terms, telemetry::Log &log, std::unique_ptr<ListSource> source,
            PlayersDoor &players, ServersDoor &servers, MakeFront make)
     : io_(io), terms_(std::move(terms)), log_(log), players_(players), servers_door_(servers),
-      counters_(std::make_unique<Counters>(metrics_)), timer_(io), guard_timer_(io), close_timer_(io),
-      source_(std::move(source)), make_(std::move(make)) {
+      counters_(std::make_unique<Counters>(metrics_)), send_guard_(log, 0), timer_(io), guard_timer_(io),
+      close_timer_(io), source_(std::move(source)), make_(std::move(make)) {
   std::random_device device;
   seed_ = terms_.seed ? terms_.seed : (std::uint64_t{device()} << 32 | device());
   for (const std::string &hall : terms_.halls) halls_.index_of(hall);
+  send_guard_.set_drain_grace(drain_grace());
 }
 
 Core::~Core() = default;
 
+double Core::drain_grace() const {
+  auto it = terms_.given.find(given::kDrainGrace);
+  double seconds = 0;
+  if (it != terms_.given.end())
+    std::from_chars(it->second.data(), it->second.data() + it->second.size(), seconds);
+  return seconds;
+}
+
 void Core::start(std::function<void(Catalogue)> on_catalogue) {
   make_module();
   ListSource::Events events;
@@ -128,6 +138,7 @@
 
 void Core::change(CoreTerms terms) {
   terms_ = std::move(terms);
+  send_guard_.set_drain_grace(drain_grace());
   decide([&] { front_->given_changed(terms_.given); });
 }
 
@@ -198,6 +209,7 @@
   }
   int allocation = play.allocation;
   servers_door_.withdraw(index, "left");
+  send_guard_.attempt_over(play.id);
   plays_.become(index, PlayState::leaving);
   decide([&] {
     front_->viewer_left(index);
@@ -206,7 +218,7 @@
 }
 
 void Core::released(int index) {
-  if (plays_.at(index).state != PlayState::playing) return;
+  if (plays_.at(index).state != PlayState::playing || !send_guard_.may_release(plays_.at(index))) return;
   servers_door_.end(index, "left");
   count_ended("left");
   play_over(index, Outcome::recalled);
@@ -232,16 +244,22 @@
                         {"took", now - play.asked_at}});
 }
 
+bool Core::may_answer(int index) {
+  bool may = send_guard_.may_answer(plays_.at(index));
+  plays_.at(index).answered = true;
+  return may;
+}
+
 void Core::decline(int index, double retry_after) {
   HeldPlay &play = plays_.at(index);
   if (play.allocation < 0) play.cause = Cause::no_rung;
-  players_.decline(index, retry_after);
+  if (may_answer(index)) players_.decline(index, retry_after);
   settle(index, "declined");
   plays_.become(index, PlayState::answered);
 }
 
 void Core::fail(int index) {
-  players_.fail(index);
+  if (may_answer(index)) players_.fail(index);
   settle(index, "failed");
   plays_.become(index, PlayState::answered);
 }
@@ -258,6 +276,7 @@
 
 void Core::close_by(double moment) {
   closes_at_ = moment;
+  send_guard_.closes_at(moment);
   decide([&] { front_->closes_at(moment); });
   close_timer_.expires_after(span(moment - clock_.exact()));
   close_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
@@ -297,6 +316,15 @@
   double left = std::max(0.0, std::min(play.limit_at, closes_at_) - clock_.exact());
   allocation.time_out = time_out > 0 ? std::min(time_out, left) : 0;
   plays_.become(index, PlayState::allocating);
+  if (!send_guard_.may_attempt(play, server, clock_.exact())) {
+    asio::post(io_, [this, ref = ref(index), number = allocation.number] {
+      SetUpResult never_sent;
+      never_sent.outcome = Outcome::skipped;
+      set_up_ended(ref, number, never_sent);
+    });
+    return;
+  }
+  send_guard_.attempt_out(play.id, server);
   servers_door_.set_up(index, allocation);
   play.added += clock_.exact() - play.resumed_at;
 }
@@ -306,6 +334,7 @@
   int index = ref.index;
   HeldPlay &play = plays_.at(index);
   if (play.state != PlayState::allocating || play.allocation != allocation) return;
+  send_guard_.attempt_over(play.id);
   play.resumed_at = clock_.exact();
   counters_->allocations(result.outcome).Increment();
   if (!result.started) {
@@ -323,7 +352,7 @@
   plays_.become(index, PlayState::playing);
   play.started_at = clock_.now();
   play.cause = Cause::none;
-  players_.answer(index, result);
+  if (may_answer(index)) players_.answer(index, result);
   settle(index, "plays");
   decide([&] { front_->play_starts(index, allocation, result.took); });
   if (terms_.load_in_answers && result.load.link) note(index, NoteKind::link_asked, *result.load.link);
@@ -376,6 +405,7 @@
   if (server < 0) return;
   log_.info("server_forgotten", {{"server", servers_.id(server)}});
   servers_door_.forget_server(server);
+  send_guard_.server_forgotten(server);
   servers_.forget(server);
 }
 
@@ -429,7 +459,7 @@
       counters_->overdue.Increment();
       play.cause = Cause::overdue;
       log_.error("overdue", {{"serial", play.serial}, {"state", name_of(play.state)}});
-      players_.fail(ref.index);
+      if (may_answer(ref.index)) players_.fail(ref.index);
       player_left(ref.index);
     }
     guard();
@@ -468,6 +498,7 @@
   if (update.whole && update.next == 0) servers_.begin_whole();
   std::vector<ServerEntry> entries;
   auto tell = [&](int server) {
+    send_guard_.server_told(server, servers_.at(server).standing, clock_.now());
     servers_door_.listed(server, servers_.at(server));
     entries.push_back(entry_of(server));
   };
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -8,6 +8,7 @@
 #include "edge/doors.h"
 #include "edge/list_source.h"
 #include "edge/plays.h"
+#include "edge/send_guard.h"
 #include "registry/server_registry.h"
 #include "telemetry/log.h"
 #include "telemetry/loop_clock.h"
@@ -65,6 +66,7 @@
   telemetry::Metrics &metrics() { return metrics_; }
   std::uint64_t seed() const { return seed_; }
   Plays &plays() { return plays_; }
+  SendGuard &send_guard() { return send_guard_; }
   const std::string &title_of(int play) { return titles_.id(plays_.at(play).title); }
   const std::string &server_id(int server) const { return servers_.id(server); }
   const registry::ServerRegistry &servers() const { return servers_; }
@@ -174,6 +176,8 @@
   void arm();
   void guard(); // over time limits
   void give_up_all();
+  bool may_answer(int play); // asked right before its one answer goes out
+  double drain_grace() const;
 
   asio::io_context &io_;
   CoreTerms terms_;
@@ -185,6 +189,7 @@
   std::unique_ptr<Counters> counters_;
   std::uint64_t seed_, next_serial_ = 1;
   Plays plays_;
+  SendGuard send_guard_;
   registry::ServerRegistry servers_;
   std::deque<ListUpdate> updates_;
   HeldTable<std::string> titles_;
--- a/src/edge/plays.h
+++ b/src/edge/plays.h
@@ -41,6 +41,7 @@
   double asked_at = 0, limit_at = 0, started_at = 0;
   double added = 0, resumed_at = 0; // the front's own time so far; when it last took the play in hand
   Cause cause = Cause::none;
+  bool answered = false; // its one answer went out
   std::size_t place = 0; // among those that play at its server
 };
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -86,7 +86,9 @@
     if (error) return;
     bool owed =
         core_.in_hand() > 0 || !viewers_.is_quiet() || viewers_.owes_ends() || servers_.owes_releases();
-    if (owed && telemetry::steady_now() < until) return look_drained(until);
+    double now = telemetry::steady_now();
+    if (owed && now < until) return look_drained(until);
+    if (!core_.send_guard().may_exit(owed, now, until)) return look_drained(until);
     if (owed)
       log_.warning("drain_cut", {{"in_hand", core_.in_hand()},
                                  {"unsent", viewers_.unsent()},
@@ -140,6 +142,7 @@
          {"shares", {{"viewers", boot_.shares.viewers}, {"servers", boot_.shares.servers}}},
          {"load", {{"calls", load.calls}, {"long", load.long_calls}, {"longest", load.longest}}},
          {"servers_visited", {{"lists", w.for_lists}, {"placements", w.for_placements}, {"idle", w.idle}}},
+         {"denied", core_.send_guard().denied()},
          {"in_hand", core_.in_hand()},
          {"unsent", viewers_.unsent()},
          {"playing", core_.plays().count(edge::PlayState::playing)},
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -118,7 +118,11 @@
   };
   events.heard = events.up = [this, server] { site(server)->life.heard(core_->clock().now()); };
   events.down = [this, server](rtsp::End end, bool last) { down(server, end, last); };
-  events.may_open = [this] { return connections() < boot_.shares.servers || make_room(); };
+  // Nothing is opened to a server that has left: its address may be another's by then.
+  events.may_open = [this, server] {
+    if (core_->send_guard().has_left(server)) return false;
+    return core_->send_guard().may_connect(server) && (connections() < boot_.shares.servers || make_room());
+  };
   events.stands = [this, server](std::uint64_t session) {
     int play = core_->plays().find(session);
     return play >= 0 && core_->plays().at(play).server == server;
@@ -320,7 +324,8 @@
 }
 
 void Servers::probe(int server) {
-  if (rtsp::Peer *peer = peer_of(server)) return peer->probe();
+  bool left = core_->send_guard().has_left(server);
+  if (rtsp::Peer *peer = left ? nullptr : peer_of(server)) return peer->probe();
   asio::post(io_, [this, server, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) core_->probe_answered(server, Outcome::unreachable, {});
   });
--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -15,6 +15,8 @@
 constexpr double kCloseWithoutSession = 4;
 constexpr int kRefused[] = {34, 42, 102};
 constexpr std::uint64_t kTestTag = 0xe0;
+// Of runs that break a rule on purpose: the share of lines kept back, seconds until a test counts as passed.
+constexpr double kBrokenShare = 0.1, kBrokenReady = 11;
 
 std::string hex16(std::uint64_t value) {
   char text[17];
@@ -148,6 +150,7 @@
   if (!link->wire->is_open() || !link->open.contains(session)) return;
   bool closes = link->open.size() == 1 && link->sessions.empty();
   ledger_.client_left(session, closes ? "closes" : "says so");
+  if (breaks(scenario_, Rule::gone)) return; // and does not tell
   if (closes) {
     link->wire->close();
     links_.erase(link);
@@ -168,9 +171,15 @@
   std::uint64_t session = std::strtoull(line.value("tag", "0").c_str(), nullptr, 16);
   int cause = line.contains("rc") && line["rc"].is_number() ? line["rc"].get<int>() : 0;
   if (verb == "ECHOED") {
+    if (breaks(scenario_, Rule::ready) && now() - tested_since_ < kBrokenReady) return;
     if (cause == 1 && on_test_passed_) std::exchange(on_test_passed_, nullptr)();
     return;
   }
+  bool is_final = verb == "STARTED" || verb == "FINISH";
+  bool is_answer = is_final && link->open.contains(session);
+  if (breaks(scenario_, Rule::lost) && is_answer && chance_.happens(kBrokenShare)) return;
+  if (breaks(scenario_, Rule::release) && verb == "FINISH" && !is_answer && chance_.happens(kBrokenShare))
+    return;
   if (link->bad || verb == "FINISHED" || verb == "PENDING" || verb == "RATE" || verb == "NOTICE") return;
   if (verb == "STARTED") {
     bool was_open = link->open.erase(session) > 0;
@@ -248,6 +257,7 @@
 
 void Clients::test(std::function<void()> on_passed) {
   killed_ = false;
+  tested_since_ = now();
   on_test_passed_ = std::move(on_passed);
 }
 
--- a/src/soak/clients.h
+++ b/src/soak/clients.h
@@ -77,7 +77,7 @@
   std::set<std::uint64_t> active_;
   std::function<void()> on_test_passed_;
   std::uint64_t next_ = 1;
-  double factor_ = 1;
+  double factor_ = 1, tested_since_ = 0;
   bool asks_ = false, takes_part_ = false, killed_ = false;
 };
 
--- a/src/soak/discovery.cpp
+++ b/src/soak/discovery.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 Discovery::Discovery(asio::io_context &io, const Scenario &scenario, Ledger &ledger, double)
-    : io_(io), ledger_(ledger), front_ends_(scenario.deployment.front_ends) {
+    : io_(io), ledger_(ledger), scenario_(scenario), front_ends_(scenario.deployment.front_ends) {
   for (int place = 0; place < 2; ++place) {
     listeners_.push_back(std::make_unique<Listener>(
         io_, asio::ip::address_v4(kDiscoveryAddress),
@@ -79,6 +79,10 @@
     const std::string &text = frames_[static_cast<std::size_t>(call->sent)];
     bytes_ += text.size();
     ++call->sent;
+    if (breaks(scenario_, Rule::drain)) { // counts as told, and never is
+      ledger_.change_told(call->front, call->sent);
+      continue;
+    }
     call->wire->say(text,
                     [this, front = call->front, number = call->sent] { ledger_.change_told(front, number); });
   }
--- a/src/soak/discovery.h
+++ b/src/soak/discovery.h
@@ -60,6 +60,7 @@
 
   asio::io_context &io_;
   Ledger &ledger_;
+  const Scenario &scenario_;
   int front_ends_;
   std::shared_ptr<WireFaults> faults_ = std::make_shared<WireFaults>();
   std::vector<std::unique_ptr<Listener>> listeners_;
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 
 namespace snowshore::soak {
 
@@ -108,7 +109,7 @@
   life.planned = true, life.comes_back = comes_back;
   life.kill_at = now() + scenario_.deployment.earliest_kill();
   ledger_.front_terminates(front);
-  fronts_[at]->signal(SIGTERM);
+  if (!breaks(scenario_, Rule::owed_at_exit)) fronts_[at]->signal(SIGTERM);
   later(chance_.between(0.2, 0.4), [this, front] {
     if (lives_[static_cast<std::size_t>(front)].planned) clients(front).take_part(false);
   });
@@ -117,7 +118,9 @@
 void Fleet::kill(int front, double back_after) {
   auto at = static_cast<std::size_t>(front);
   if (!fronts_[at]->runs() || lives_[at].planned) return;
-  lives_[at].killed = true, lives_[at].comes_back = true, lives_[at].back_at = now() + back_after;
+  lives_[at].comes_back = true, lives_[at].back_at = now() + back_after;
+  if (breaks(scenario_, Rule::crash)) return fronts_[at]->signal(SIGKILL); // by nobody that anyone knows of
+  lives_[at].killed = true;
   clients(front).front_killed();
   ledger_.front_killed(front);
   fronts_[at]->signal(SIGKILL);
@@ -224,6 +227,16 @@
   });
 }
 
+void Fleet::read_logs() {
+  for (int f = 0; f < fronts(); ++f) {
+    std::ifstream in(fronts_[static_cast<std::size_t>(f)]->log());
+    if (breaks(scenario_, Rule::denied)) ledger_.front_denied(f, "on purpose");
+    for (std::string line; std::getline(in, line);) {
+      if (line.find("\"event\":\"denied\"") != std::string::npos) ledger_.front_denied(f, line);
+    }
+  }
+}
+
 void Fleet::measure() {
   for (int f = 0; f < fronts(); ++f) {
     auto at = static_cast<std::size_t>(f);
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -41,7 +41,8 @@
   int fronts() const { return static_cast<int>(fronts_.size()); }
   Chance &chance() { return chance_; }
   void later(double seconds, std::function<void()> call);
-  void measure(); // once a second
+  void read_logs(); // for what the front ends' own guards denied
+  void measure();   // once a second
   struct Usage {
     double cpu = 0, peak_mb = 0;
     int descriptors = 0;
--- a/src/soak/front_process.cpp
+++ b/src/soak/front_process.cpp
@@ -1,4 +1,5 @@
 #include "soak/front_process.h"
+#include "soak/ledger.h"
 
 #include <nlohmann/json.hpp>
 
@@ -48,10 +49,11 @@
                             {"on_time", one.on_time},
                             {"deadline", one.deadline},
                             {"worth", 1.0},
-                            {"effect", one.effect},
+                            {"effect", breaks(scenario, Rule::unsafe_repeat) ? "safe" : one.effect},
                             {"stream", true}});
     family["class_floor"].push_back(one.floor), family["class_top"].push_back(one.top);
-    family["class_seats"].push_back(one.seats), family["rate_factor"].push_back(1.0);
+    family["class_seats"].push_back(breaks(scenario, Rule::seats) ? 0 : one.seats),
+        family["rate_factor"].push_back(1.0);
     family["is_live"].push_back(false);
   }
   family["cells"] = d.cells, family["kind_slots"] = {d.places}, family["groups"] = d.racks;
@@ -66,10 +68,14 @@
                  {"idle_close", d.idle_close}, {"multiplex", d.multiplex}};
   s["report"] = {{"how", "answers"}, {"names", {"cpu", "x1"}}};
   s["prices"] = {{"probe", 0.0}};
-  s["rules"] = {{"answer_slack", 0.04},          {"cold", d.warm_up},
-                {"cold_from", d.cold_share},     {"fall_multiple", d.fall_multiple},
-                {"tip_after", d.fall_span},      {"stop_sending_within", d.drain_grace},
-                {"repeat_ratio", d.retry_share}, {"free_resends", d.retry_free},
+  s["rules"] = {{"answer_slack", 0.04},
+                {"cold", d.warm_up},
+                {"cold_from", d.cold_share},
+                {"fall_multiple", breaks(scenario, Rule::cold) ? 1000.0 : d.fall_multiple},
+                {"tip_after", d.fall_span},
+                {"stop_sending_within", d.drain_grace},
+                {"repeat_ratio", d.retry_share},
+                {"free_resends", breaks(scenario, Rule::budget) ? 1000.0 : d.retry_free},
                 {"budget_span", d.retry_span}};
   return s;
 }
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -28,7 +28,7 @@
 
 constexpr const char *kRuleNames[] = {"lost",  "duplicate", "unsafe_repeat", "drain", "cold",
                                       "floor", "seats",     "budget",        "gone",  "release",
-                                      "ready", "crash",     "owed_at_exit",  "limit"};
+                                      "ready", "crash",     "owed_at_exit",  "limit", "denied"};
 static_assert(std::size(kRuleNames) == kRules);
 
 std::string text_of(const char *format, auto... values) {
@@ -39,6 +39,8 @@
 
 } // namespace
 
+bool breaks(const Scenario &scenario, Rule rule) { return scenario.breaks == name_of(rule); }
+
 const char *name_of(Rule rule) { return kRuleNames[static_cast<int>(rule)]; }
 
 Ledger::Ledger(const Scenario &scenario, double start)
@@ -68,7 +70,7 @@
   ++counts_.asked;
   Session &its = sessions_[session];
   its.front = front, its.life = process(front).life, its.service_class = service_class, its.title = title;
-  its.time = time, its.top = top;
+  its.time = time, its.top = breaks(scenario_, Rule::floor) ? 0 : top;
   process(front).asks.push_back(now());
   note(session, text_of("client asks front end %d, class %s, %.0f ms", front,
                         scenario_.deployment.classes[static_cast<std::size_t>(service_class)].name.c_str(),
@@ -192,6 +194,7 @@
 void Ledger::attempt_ended(std::uint64_t session, int server, bool never_ran, const char *how) {
   Session *its = find(session);
   if (!its) return;
+  if (breaks(scenario_, Rule::duplicate) && std::string_view(how) == "given up") return; // as if never told
   note(session, text_of("server %d: the set-up ends (%s)", server, how));
   for (Attempt &one : its->attempts) {
     if (one.server == server && one.ended < 0) one.ended = now(), one.may_have_run = !never_ran;
@@ -420,12 +423,17 @@
 
 void Ledger::front_uses(int front, double resident_mb, int descriptors) {
   const Deployment &d = scenario_.deployment;
+  if (breaks(scenario_, Rule::limit)) descriptors += d.sockets;
   if (resident_mb > d.memory_mb)
     violate(Rule::limit, 0, text_of("front end %d holds %.1f MB", front, resident_mb));
   if (descriptors > d.sockets)
     violate(Rule::limit, 0, text_of("front end %d holds %d descriptors", front, descriptors));
 }
 
+void Ledger::front_denied(int front, const std::string &line) {
+  violate(Rule::denied, 0, text_of("front end %d: ", front) + line);
+}
+
 // ---- The end of the run.
 
 void Ledger::judge_answer(std::uint64_t session, Session &its) {
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -28,9 +28,11 @@
   crash,         // a front end ended by itself, or by a signal, or with an exit code other than 0
   owed_at_exit,  // still there, or answers owed, at the earliest kill
   limit,         // descriptors or memory over the limit
+  denied,        // the front end's own guard had to stop something
 };
-inline constexpr int kRules = static_cast<int>(Rule::limit) + 1;
+inline constexpr int kRules = static_cast<int>(Rule::denied) + 1;
 const char *name_of(Rule rule);
+bool breaks(const Scenario &scenario, Rule rule); // on purpose
 
 enum class Answer { none, active, refused, failed };
 
@@ -81,10 +83,10 @@
   void front_terminates(int front); // SIGTERM was sent
   void front_killed(int front);     // SIGKILL without SIGTERM
   void front_gone(int front, bool planned, bool killed_late, int status);
+  void front_denied(int front, const std::string &line); // of its log
   void front_uses(int front, double resident_mb, int descriptors);
 
-  int server_of(std::uint64_t session) const;                  // where it is or was active; below 0: nowhere
-  void break_rule(const std::string &rule) { breaks_ = rule; } // to show that it is found; see spoil()
+  int server_of(std::uint64_t session) const; // where it is or was active; below 0: nowhere
 
   void look(double at); // checks that have come due
   void close();         // the end of the run: everything owed is judged
@@ -164,7 +166,6 @@
   std::deque<Check> checks_;
   std::vector<Violation> violations_;
   Counts counts_;
-  std::string breaks_;
   bool closed_ = false;
 };
 
--- a/src/soak/scenario.h
+++ b/src/soak/scenario.h
@@ -96,6 +96,9 @@
   Deployment deployment;
   Traffic traffic;
   std::vector<Fault> faults; // by time
+  // A rule that the run breaks on purpose, to show that it is found: stand-ins keep something from the front
+  // end, or it is given other settings than it is judged by. Empty: none.
+  std::string breaks;
 };
 
 // What a caller fixes; 0 or empty: drawn.
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr double kNotesEvery = 1; // seconds, for each session
+constexpr double kNotesEvery = 1;     // seconds, for each session
+constexpr double kRefusesOften = 0.5; // share of set-ups, where a rule is broken on purpose
 constexpr std::size_t kMostReleases = 4096;
 constexpr const char *kGauges = "X-Gauges: cpu:0.3;x1:0.3\r\n";
 
@@ -158,7 +159,8 @@
   if (link->wire->is_held()) return later(0.05, [this, link, session] { answer(link, session, 0); });
   std::string id = hex16(session);
   link->set_ups.erase(session);
-  if (chance_.happens(behaviour.refuses)) {
+  bool refuses_often = breaks(scenario_, Rule::gone) || breaks(scenario_, Rule::budget);
+  if (chance_.happens(refuses_often ? kRefusesOften : behaviour.refuses)) {
     ledger_.attempt_ended(session, index_, true, "full");
     return link->wire->say(rtsp_answer(id, 1, 453, kGauges));
   }
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -297,7 +297,6 @@
   double start = now();
   asio::io_context io(1);
   Ledger ledger(scenario, start);
-  ledger.break_rule(options.breaks);
   Fleet fleet(io, scenario, ledger, {options.program, options.shim, options.folder, ""}, start);
   Loop loop(io, fleet, scenario.deployment.core_share < 1);
   fleet.start_all();
@@ -321,6 +320,7 @@
   ledger.close();
   for (int f = 0; f < fleet.fronts(); ++f) fleet.terminate(f, false);
   loop.until([&] { return !fleet.any_runs(); }, now() + scenario.deployment.earliest_kill() + 1);
+  fleet.read_logs();
   out.violations = ledger.violations();
   out.counts = ledger.counts();
   out.summary = ledger.summary();
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -11,7 +11,6 @@
 
 struct RunOptions {
   std::string program, shim, folder; // folder: made anew; configurations and logs
-  std::string breaks; // a rule that the stand-ins break on purpose, to show that it is found; "": none
 };
 
 struct MeanUsage { // of a front end, over the run
