A crowd of silent newcomers no longer closes connections that sessions stand by

Cause: newcomers are let be for 50 ms, so that in a burst only older, working connections could be closed. Result: the new case failed before (the connection was closed) and passes; the cases of crowd, silence and room pass.

--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -162,15 +162,17 @@
 // be on its way on it; one with an unsent answer is too, as long as it may be about to read that.
 bool Server::make_room() {
   Connection *least = nullptr;
+  bool newcomers = false; // that may go in a moment
   double now = steady_now();
   for (auto &[id, one] : all_) {
     bool unsent = !one->unsent.empty() || !one->sending.empty();
+    newcomers = newcomers || one->state == State::silent;
     if (one->held > 0 || one->heard_at > now - (unsent ? limits_.first_line : kSettled) || unread(*one))
       continue;
     if (!least || std::pair(one->vouched, one->heard_at) < std::pair(least->vouched, least->heard_at))
       least = one.get();
   }
-  if (!least) return false;
+  if (!least || (least->vouched && newcomers)) return false;
   ++counters_.room_cut;
   end(*least, "room");
   return true;
--- a/tests/jsonlines/test_jsonlines.cpp
+++ b/tests/jsonlines/test_jsonlines.cpp
@@ -153,3 +153,21 @@
   CHECK(run_until(
       scene.io, [&] { return scene.server->connections() == 0; }, 2));
 }
+
+TEST_CASE("a crowd of silent newcomers closes a connection that sessions stand by, and a release on its way "
+          "is lost") {
+  jsonlines::Limits limits;
+  limits.connections = 4;
+  Lines scene(limits);
+  RawPeer good(scene.io, scene.server->local());
+  good.say("{}\n");
+  REQUIRE(run_until(scene.io, [&] { return scene.lines.size() == 1; }));
+  scene.server->vouch(scene.lines[0].first);
+  run_for(scene.io, 0.1);
+  std::vector<std::unique_ptr<RawPeer>> crowd;
+  for (int i = 0; i < 12; ++i) crowd.push_back(std::make_unique<RawPeer>(scene.io, scene.server->local()));
+  REQUIRE(run_until(
+      scene.io, [&] { return scene.server->counters().accepted == 13; }, 2));
+  CHECK(scene.server->counters().room_cut >= 9);
+  CHECK_FALSE(good.closed);
+}
