--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -56,8 +56,18 @@
   set_tests_properties(day.${name}.1 PROPERTIES COST 10)
 endforeach()
 
-# The fault soak: the reproduction of an incident, and seeds of the whole. Few at a time: each is several processes.
+# The fault soak: the reproduction of an incident, and seeds of the whole. One at a time: each is a dozen processes.
 add_test(NAME soak.list-changes-at-3200-servers
          COMMAND snowshore-lab soak --seed 5 --front-ends 2 --servers 3200 --lasts 14 --rate 6 --only list_churn
                  --core-share 0.2 --out ${CMAKE_BINARY_DIR}/soak/many)
-set_tests_properties(soak.list-changes-at-3200-servers PROPERTIES LABELS days TIMEOUT 120)
+foreach(seed 8 16 21)
+  add_test(NAME soak.seed.${seed}
+           COMMAND snowshore-lab soak --seed ${seed} --front-ends 10 --servers 40 --core-share 1 --lasts 12
+                   --out ${CMAKE_BINARY_DIR}/soak/${seed})
+  set_tests_properties(soak.seed.${seed} PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
+endforeach()
+# A front end that is broken on purpose is found.
+add_test(NAME soak.finds-lost COMMAND snowshore-lab soak --seed 21 --front-ends 2 --servers 20 --lasts 4 --no-faults --break lost
+                                      --out ${CMAKE_BINARY_DIR}/soak/lost)
+set_tests_properties(soak.finds-lost PROPERTIES PASS_REGULAR_EXPRESSION "BROKEN lost")
+set_tests_properties(soak.list-changes-at-3200-servers soak.finds-lost PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -136,6 +136,7 @@
     if (chance_.happens(scenario_.traffic.early_leavers)) {
       double after = chance_.happens(0.3) ? chance_.between(0, 0.01)
                                           : chance_.exponential(scenario_.traffic.set_up * 1.5);
+      if (breaks(scenario_, Rule::gone)) after = 0;
       later(after, [this, session, link] { leave(session, link); });
     }
   }
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -345,7 +345,9 @@
 }
 
 void Ledger::check_seats(std::uint64_t session, const Session &its) {
-  int seats = scenario_.deployment.classes[static_cast<std::size_t>(its.service_class)].seats;
+  int seats = breaks(scenario_, Rule::seats)
+                  ? 1
+                  : scenario_.deployment.classes[static_cast<std::size_t>(its.service_class)].seats;
   if (seats <= 0) return;
   int used = 0;
   for (const auto &[id, other] : sessions_) {
