Decision: bound, retry budget, slow start and settings reader as modules of their own

Cause: policy.cpp held every decision in one class. The soak's ledger takes N + 2 root N + 2 as the bound of a cold server for small budgets too.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -2,11 +2,14 @@
 // Called through policy.h: clock() first, then one call for each thing that happened; answers go out through
 // Answers during the call. place() is the ordinary path of a play, top to bottom; the rest feeds it.
 #include "decision/policy.h"
+#include "decision/given_reader.h"
+#include "decision/overrun_bound.h"
+#include "decision/retry_budget.h"
+#include "decision/slow_start.h"
 #include "decision/sorted_indices.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <random>
 #include <stdexcept>
@@ -15,34 +18,6 @@
 
 namespace snowshore {
 
-double log_overrun_bound(std::span<const RateGroup> groups, double link) {
-  double mean = 0, ceiling = INFINITY; // ceiling: the smallest alpha
-  for (const RateGroup &g : groups) {
-    if (g.plays <= 0) continue;
-    mean += g.plays * g.rate;
-    ceiling = std::min(ceiling, 1 / (g.variation * g.variation * g.rate));
-  }
-  if (mean <= 0) return link > 0 ? -INFINITY : 0;
-  if (mean >= link) return 0;
-  double low = 0, high = 1; // theta over ceiling; the exponent is convex, so its slope changes sign once
-  for (int i = 0; i < 40; ++i) {
-    double theta = (low + high) / 2 * ceiling, slope = -link;
-    for (const RateGroup &g : groups) {
-      if (g.plays <= 0) continue;
-      double spread = g.variation * g.variation;
-      slope += g.plays / spread / (1 / (spread * g.rate) - theta);
-    }
-    (slope < 0 ? low : high) = (low + high) / 2;
-  }
-  double theta = low * ceiling, exponent = -theta * link;
-  for (const RateGroup &g : groups) {
-    if (g.plays <= 0) continue;
-    double spread = g.variation * g.variation;
-    exponent -= g.plays / spread * std::log1p(-theta * spread * g.rate);
-  }
-  return std::min(exponent, 0.0);
-}
-
 namespace {
 
 // ---- Values that are ours to tune; everything else comes from the settings or is observed.
@@ -148,10 +123,10 @@
     read_given();
     groups_.reserve(kChangesKept + 2);
     listed_in_.resize(at(cells_));
-    racks_.resize(static_cast<std::size_t>(std::max(1.0, number("racks", 1))));
+    racks_.resize(static_cast<std::size_t>(std::max(1.0, GivenReader(given_).number("racks", 1))));
     for (Link &uplink : racks_) open_link(uplink);
     open_uplinks();
-    if (text("list_mode") == "on_request") answers_.follow_list();
+    if (GivenReader(given_).text("list_mode") == "on_request") answers_.follow_list();
     answers_.set_timer(kReviewEvery, kReview);
   }
 
@@ -179,8 +154,7 @@
     Play &play = take(index, terms);
     play.limit_at = std::min(now_ + terms.time_left.value_or(limits_[at(terms.product)]), closes_at_);
     play.target_at = now_ + std::min(targets_[at(terms.product)], play.limit_at - now_);
-    std::erase_if(taken_at_, [&](double t) { return t <= now_ - further_span_; });
-    if (further_span_ > 0) taken_at_.push_back(now_);
+    retries_.request_taken(now_);
     for (Pace *pace : {&rush_, &usual_rush_}) pace->count(now_);
     become(index, PlayState::asked);
     if (ask_holders(index)) {
@@ -322,44 +296,46 @@
   enum Label { kAskList = 1, kReview, kPlace };
 
   void read_given() {
-    rates_ = list("rung_rates");
-    rung_worth_ = list("rung_importance");
-    factors_ = list("product_rate_factors");
-    floors_ = list("product_floors");
-    tops_ = list("product_tops");
-    seats_ = list("product_seats");
-    kind_places_ = list("kind_places");
-    fronts_ = std::max(1.0, number("fronts", 1));
-    link_per_weight_ = number("link_per_weight", 0);
-    cells_ = std::max(1, static_cast<int>(number("cells", 1)));
-    warm_up_ = number("warm_up", 0);
-    may_probe_ = text("load_comes_with") != "none" && number("may_probe", 0) > 0;
-    note_delay_ = number("note_delay", 1);
-    front_index_ = static_cast<int>(number("front_index", 0));
-    allowed_ = static_cast<int>(number("allocations_per_play", 1));
-    longest_retry_after_ = number("longest_retry_after", 0);
-    fall_span_ = number("fall_span", 1);
-    cold_budget_ = number("fall_multiple", 1) * number("cold_share", 0) * fall_span_ * kColdSafety;
-    further_span_ = number("further_span", 0);
-    further_free_ = number("further_free", 0);
-    further_share_ = number("further_share", 0);
-    uplinks_told_ = text("load_fields").find("uplink") != std::string_view::npos;
-    products_ = static_cast<int>(number("products", 1));
+    GivenReader given(given_);
+    rates_ = given.list("rung_rates");
+    rung_worth_ = given.list("rung_importance");
+    factors_ = given.list("product_rate_factors");
+    floors_ = given.list("product_floors");
+    tops_ = given.list("product_tops");
+    seats_ = given.list("product_seats");
+    kind_places_ = given.list("kind_places");
+    fronts_ = std::max(1.0, given.number("fronts", 1));
+    link_per_weight_ = given.number("link_per_weight", 0);
+    cells_ = std::max(1, static_cast<int>(given.number("cells", 1)));
+    warm_up_ = given.number("warm_up", 0);
+    may_probe_ = given.text("load_comes_with") != "none" && given.number("may_probe", 0) > 0;
+    note_delay_ = given.number("note_delay", 1);
+    allowed_ = static_cast<int>(given.number("allocations_per_play", 1));
+    longest_retry_after_ = given.number("longest_retry_after", 0);
+    slow_start_.fronts = fronts_, slow_start_.front_index = static_cast<int>(given.number("front_index", 0));
+    slow_start_.span = given.number("fall_span", 1);
+    slow_start_.bears =
+        given.number("fall_multiple", 1) * given.number("cold_share", 0) * slow_start_.span * kColdSafety;
+    slow_start_.warm_up = warm_up_;
+    retries_.set(
+        {given.number("further_span", 0), given.number("further_free", 0), given.number("further_share", 0)});
+    uplinks_told_ = given.text("load_fields").find("uplink") != std::string_view::npos;
+    products_ = static_cast<int>(given.number("products", 1));
     targets_.clear(), limits_.clear(), importance_.clear(), safe_.clear(), earning_.clear(),
         strictness_.clear();
     for (int p = 0; p < products_; ++p) {
       std::string name = "product." + std::to_string(p) + ".";
-      targets_.push_back(number(name + "first_frame_target", 1));
-      limits_.push_back(number(name + "time_limit", 4));
-      importance_.push_back(number(name + "importance", 1));
-      safe_.push_back(text(name + "set_up") != "unsafe" && text(name + "set_up") != "keyed");
+      targets_.push_back(given.number(name + "first_frame_target", 1));
+      limits_.push_back(given.number(name + "time_limit", 4));
+      importance_.push_back(given.number(name + "importance", 1));
+      safe_.push_back(given.text(name + "set_up") != "unsafe" && given.text(name + "set_up") != "keyed");
     }
     if (rates_.empty() || rung_worth_.size() != rates_.size() || at(products_) != factors_.size() ||
         factors_.size() != floors_.size() || factors_.size() != tops_.size())
       throw std::invalid_argument("the settings' rungs and products do not match");
     weigh_rungs();
   }
-  double uplink_given() const { return uplinks_told_ ? number("rack_uplink", 0) : 0; }
+  double uplink_given() const { return uplinks_told_ ? GivenReader(given_).number("rack_uplink", 0) : 0; }
 
   // The ordinary path: the highest rung that passes, on the roomiest holder, or an answer at once.
   void place(int index) {
@@ -368,7 +344,7 @@
     int low = lowest(terms.product), top = highest(terms);
     bool first = play.allocations == 0;
     if (!first && play.may_have_run && !safe_[at(terms.product)]) return give_up(index);
-    if (play.allocations >= allowed_ || (!first && !may_go_further())) return give_up(index);
+    if (play.allocations >= allowed_ || (!first && !retries_.allows(now_))) return give_up(index);
     if (now_ >= play.target_at || play.limit_at - now_ < kLeastSetUp) return give_up(index);
     if (!seat_free(terms)) return give_up(index);
 
@@ -388,7 +364,7 @@
     }
     if (best < 0) return give_up(index);
 
-    if (!first) further_at_.push_back(now_);
+    if (!first) retries_.attempt_made(now_);
     play.server = best;
     play.rung = best_rung;
     play.tried[at(play.allocations) % play.tried.size()] = best;
@@ -717,7 +693,7 @@
 
   // Where weights say nothing, a kind with more places is held to have a link larger in proportion.
   void share_places() {
-    by_places_ = text("weight_meaning") == "none" && listed_places_ > 0;
+    by_places_ = GivenReader(given_).text("weight_meaning") == "none" && listed_places_ > 0;
     link_capacity_ =
         static_cast<double>(by_places_ ? placed_capacity_ * listed_ / listed_places_ : listed_capacity_);
   }
@@ -853,25 +829,16 @@
     if (asked * capacity(server.link) - own > kWarmProof * capacity(server.link)) server.seen_warm = true;
   }
 
-  // Rule: a cold server is never pushed over by all fronts together. A front keeps to its part of the least
-  // budget (the share a server starts with), evenly spaced; where that is under one set-up a span, fronts
-  // take turns by the clock, with a span's pause between turns.
   bool cold_allows(const Server &server) const {
     if (!may_be_cold(server)) return true;
-    bool known_cold = now_ - server.cold_since < warm_up_;
-    double span = fall_span_, budget = cold_budget_ * places_of(server) / warm_up_;
-    double quiet = now_ - server.last_sent;
+    SlowStartState state;
+    state.places = places_of(server);
+    state.known_cold = now_ - server.cold_since < warm_up_;
+    state.first_is_out = server.answered_at < server.cold_since && server.last_sent >= server.cold_since;
+    state.quiet = now_ - server.last_sent;
     // One that came back may have sent until it went down.
-    if (known_cold && !handed_over_) quiet = std::min(quiet, now_ - opened_);
-    bool first_is_out = server.answered_at < server.cold_since && server.last_sent >= server.cold_since;
-    if (known_cold && first_is_out) return false;
-    if (budget >= fronts_) return quiet >= span / std::floor(budget / fronts_);
-    if (budget < 1) return false;
-    if (!known_cold) return quiet >= span * fronts_ / budget;
-    int turns = static_cast<int>(std::ceil(fronts_ / std::floor(budget)));
-    double beat = std::floor(now_ / (2 * span));
-    bool ours = std::fmod(beat, turns) == front_index_ % turns;
-    return ours && now_ - beat * 2 * span < span && quiet >= span;
+    if (state.known_cold && !handed_over_) state.quiet = std::min(state.quiet, now_ - opened_);
+    return slow_start_allows(slow_start_, state, now_);
   }
 
   // Guards against set-ups that arrive together: the first after a start waits for a new connection, which
@@ -917,14 +884,6 @@
     return seats_held_[place];
   }
 
-  bool may_go_further() {
-    std::erase_if(further_at_, [&](double t) { return t < now_ - further_span_; });
-    auto taken =
-        std::count_if(taken_at_.begin(), taken_at_.end(), [&](double t) { return t > now_ - further_span_; });
-    return further_span_ <= 0 || static_cast<double>(further_at_.size()) + 1 <=
-                                     further_free_ + further_share_ * static_cast<double>(taken);
-  }
-
   // Leaves room for another allocation before the first-frame target, unless this is the last.
   double time_out(const Play &play) const {
     double limit = play.limit_at - now_;
@@ -968,31 +927,6 @@
     link.changes.reserve(kChangesKept);
   }
 
-  std::string_view text(std::string_view name) const {
-    auto it = given_.find(name);
-    return it == given_.end() ? std::string_view() : it->second;
-  }
-
-  double number(std::string_view name, double fallback) const {
-    std::string_view value = text(name);
-    if (value == "true") return 1;
-    std::from_chars(value.data(), value.data() + value.size(), fallback);
-    return value == "false" ? 0 : fallback;
-  }
-
-  std::vector<double> list(std::string_view name) const {
-    std::vector<double> values;
-    std::string_view all = text(name);
-    for (std::size_t from = 0; from < all.size();) {
-      std::size_t to = std::min(all.find(',', from), all.size());
-      double value = 0;
-      std::from_chars(all.data() + from, all.data() + to, value);
-      values.push_back(value);
-      from = to + 1;
-    }
-    return values;
-  }
-
   Given given_;
   Answers &answers_;
   std::minstd_rand chance_;
@@ -1001,10 +935,11 @@
   std::vector<double> importance_, earning_;
   std::vector<double> strictness_; // by product and rung, on the logarithm of the tolerance
   std::vector<bool> safe_;
-  double longest_retry_after_ = 0, fall_span_ = 1, cold_budget_ = 0;
-  double further_span_ = 0, further_free_ = 0, further_share_ = 0;
+  double longest_retry_after_ = 0;
+  SlowStartTerms slow_start_;
+  RetryBudget retries_;
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
-  int cells_ = 1, products_ = 1, allowed_ = 1, front_index_ = 0;
+  int cells_ = 1, products_ = 1, allowed_ = 1;
   bool uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
   DecisionWork work_;
   std::vector<Server> servers_;
@@ -1016,7 +951,6 @@
   std::vector<int> avoided_;                // servers; some that are not avoided any more
   std::vector<int> open_;                   // servers that the play in hand may be sent to
   std::vector<int> seats_held_, waiting_, placing_; // by title and product; plays whose holders were asked
-  std::vector<double> taken_at_, further_at_;
   std::vector<RateGroup> groups_;
   double demand_ = 0, own_in_all_ = 0, held_ = 0, link_capacity_ = 0, rack_capacity_ = 0,
          link_per_weight_ = 0;
--- a/src/decision/policy.h
+++ b/src/decision/policy.h
@@ -108,14 +108,4 @@
 
 std::unique_ptr<Front> make_front(const Given &given, std::uint64_t seed, double now, Answers &answers);
 
-// One group of equal Gamma-spread rates on a link: so many plays of this mean rate and variation coefficient.
-struct RateGroup {
-  double plays = 0;
-  double rate = 0;
-  double variation = 0;
-};
-
-// Natural logarithm of the Chernoff bound on the groups' summed rates overrunning the link (0: certain).
-double log_overrun_bound(std::span<const RateGroup> groups, double link);
-
 } // namespace snowshore
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -333,7 +333,7 @@
   while (its.arrivals.front().first <= at - d.fall_span) its.arrivals.pop_front();
   double share = d.cold_share + (1 - d.cold_share) * (at - its.boot) / d.warm_up;
   double budget = d.fall_multiple * share * d.fall_span * d.places / d.warm_up;
-  double bears = budget < 30 ? budget + 3 * std::sqrt(budget) + 3 : budget + 2 * std::sqrt(budget) + 2;
+  double bears = budget + 2 * std::sqrt(budget) + 2;
   double arrived = static_cast<double>(its.arrivals.size());
   if (its.fallen || arrived <= bears) return;
   its.fallen = true;
--- a/tests/test_bound.cpp
+++ b/tests/test_bound.cpp
@@ -1,4 +1,4 @@
-#include "decision/policy.h"
+#include "decision/overrun_bound.h"
 
 #include <catch2/catch.hpp>
 #include <cmath>
