--- a/src/platform/liveness.h
+++ b/src/platform/liveness.h
@@ -13,6 +13,7 @@
                          // hold this, the wait for a connection, and a loop that is behind
   double speaks_every = 0;     // a server with plays of ours says something so often (0: not known)
   double silent_at_most = 6.5; // so that the 8 s hold
+  double late_by = 1.5;        // what it says comes so late at most
   double intervals = 1.5;      // of speaks_every: silence for so many is no chance
   double refused_apart = 0.15; // two refusals so far apart are no accident of one moment
 };
@@ -36,6 +37,7 @@
   double quiet_for(double now) const { return now - heard_at_; }
 
  private:
+  double silence_that_tells() const; // seconds
   const LivenessTerms *terms_;
   double heard_at_ = -1e9, asked_at_ = -1e9, refused_since_ = -1;
   double spoke_at_ = -1e9, broke_at_ = -1, silent_since_ = -1; // below 0: no break is open
