A removed server's connection does not go to make room; a peer in drop still tells its failures

Found by reading the connection budget once more. Callers would have seen: a session on a server that was removed from the list, still played on its connection, told over as soon as another server's set-up wanted a descriptor (its connection can't be opened again); it also called the module during the module's own call. Second, a peer that is of no more use went at once and took a failure along that it had posted and not yet told; it goes a turn later now. Sessions ended for a restart unseen by the list are released at the server too, should it hold them after all. Result: many-servers.removed failed without the first change (FINISH told) and passes; the posted failure has no case.

--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -98,7 +98,8 @@
 }
 
 void Servers::drop_peer(int server) {
-  site(server)->peer.reset();
+  // It goes after this turn: what it has posted is still told.
+  asio::post(io_, [gone = std::shared_ptr<rtsp::Peer>(std::move(site(server)->peer))] {});
   with_peer_.remove(server);
 }
 
@@ -160,6 +161,9 @@
   for (int s : with_peer_) {
     ++counters_.servers_walked;
     const rtsp::Peer &peer = *site(s)->peer;
+    // A server that has left can't be visited again: what it still holds would be given up with its
+    // connection.
+    if (core_->send_guard().has_left(s) && plays_at(s) > 0) continue;
     if (auto since = peer.idle_open_since()) uses.push_back({s, plays_at(s), peer.open(), *since});
   }
   double now = telemetry::steady_now();
@@ -226,8 +230,10 @@
     auto plays = core_->plays().playing_at(server);
     bool newer =
         std::ranges::any_of(plays, [&](int play) { return core_->plays().at(play).started_at >= before; });
-    if (!newer) lost(server, "restarted_unseen", counters_.lost_restarted, before);
-    return;
+    if (newer) return;
+    // Should it hold them after all, they end there as well.
+    for (int play : plays) peer->release(core_->plays().at(play).id, kCauseFailed);
+    return lost(server, "restarted_unseen", counters_.lost_restarted, before);
   }
   case Liveness::Verdict::well:
     return;
--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -110,3 +110,34 @@
   };
   CHECK(scene.until(all_told, 8));
 }
+
+TEST_CASE("many servers: a removed one's session ends when its connection makes room for another", "[many]") {
+  constexpr int kHolding = 14;
+  constexpr unsigned kSockets = 32;
+  PlatformScene scene(kHolding, "safe", [&](nlohmann::json &config) {
+    config["limits"]["sockets"] = kSockets;
+    config["settings"]["family_info"]["cells"] = kHolding;
+    int cell = 0;
+    for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"]) target["pod_group"] = cell++;
+  });
+  RawPeer &peer = scene.viewer();
+  auto ask = [&](int home) {
+    std::string tag = scene.next_tag(), line = PlatformScene::start(tag);
+    line.replace(line.find("home:0"), 6, "home:" + std::to_string(home));
+    peer.say(line);
+    CHECK(scene.until([&] { return PlatformScene::said(peer, "STARTED", tag); }, 1.5));
+    return tag;
+  };
+  std::string first = ask(0);
+  REQUIRE(scene.until([&] { return !scene.channel.links.empty(); }));
+  WrittenServer gone = PlatformScene::written(1, *scene.servers[0], 2);
+  scene.tell(frame(2, 2, record(gone)));
+  REQUIRE(scene.until([&] { return scene.front->core().list_version() == 2; }));
+  for (int s = 1; s < kHolding; ++s) {
+    scene.run(0.35);
+    ask(s);
+    RawServer::say(*scene.servers[0]->server.links[0],
+                   StandIn::request(first, "ANNOUNCE", {{"X-Outcome", "link"}, {"P-Amount", "0.3"}}));
+  }
+  CHECK_FALSE(PlatformScene::said(peer, "FINISH", first)); // it still plays, on the connection it has
+}
