A draining front end opens no connection only to listen

Cause: a server says a release it could not send on the next connection that is opened; the ending process had opened that to visit the server, and was gone before it read it, so that the next life heard nothing. Change: from SIGTERM on no connection is opened to listen; those for set-ups still are. Result: the new case failed before (a second connection) and passes.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -70,6 +70,7 @@
   drain_began_ = telemetry::steady_now();
   budget_ = drain_budget(boot_.longest_limit);
   viewers_.drain();
+  servers_.drain();
   core_.close_by(core_.clock().exact() + budget_.answers_until);
   drain_timer_.expires_after(span(budget_.takes_until));
   drain_timer_.async_wait([this](asio::error_code error) {
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -214,6 +214,7 @@
   if (stood_still) one.life.heard(now);
   rtsp::Peer *peer = peer_of(server);
   if (!peer) return lost(server, "gone", counters_.lost_gone);
+  if (draining_) return;
   bool gone = one.entry.standing == Standing::left; // its address may be another's
   if (std::exchange(one.ask_again, false) && !gone) peer->ask();
   bool set_aside = peer->connections() == 0 && telemetry::steady_now() < one.set_aside_until;
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -26,6 +26,8 @@
   Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers);
   void attach(edge::Core &core) { core_ = &core; }
   void start();  // the watch
+  // The planned end: no connection is opened only to listen any more; the next life hears what is said on its own.
+  void drain() { draining_ = true; }
   void reload(); // other times and limits stand in the configuration now
 
   bool owes_releases() const; // not yet handed to a connection that is up
@@ -101,6 +103,7 @@
   std::uint64_t next_serial_ = 1;
   std::size_t listed_ = 0; // that have not left
   double watched_at_ = 0;
+  bool draining_ = false;
   asio::steady_timer watch_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -499,3 +499,13 @@
   }
   CHECK_FALSE(PlatformScene::said(peer, "FINISH", tag));
 }
+
+TEST_CASE("drain: a connection opened only to listen takes a server's release into the exit") {
+  PlatformScene scene(1);
+  auto [server, tag] = scene.standing(scene.viewer());
+  scene.front->drain([] {});
+  for (auto &link : server->server.links) link->socket.close();
+  std::size_t before = server->server.links.size();
+  scene.run(0.6);
+  CHECK(server->server.links.size() == before);
+}
