A connection with something unread on it does not go to make room

Cause: the connection was closed for room while the release lay unread on it, and the server says it once more only on the next visit. Change: such a connection is read first. Result: many-servers.unread failed before (no end in 1 s) and passes.

--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -22,6 +22,7 @@
 add_test(NAME many-servers.placement COMMAND snowshore_many_servers_tests "many servers: a placement*")
 add_test(NAME many-servers.idle COMMAND snowshore_many_servers_tests "many servers: an idle*")
 add_test(NAME many-servers.removed COMMAND snowshore_many_servers_tests "many servers: a removed*")
+add_test(NAME many-servers.unread COMMAND snowshore_many_servers_tests "many servers: a connection goes*")
 add_test(NAME many-servers.connections COMMAND snowshore_many_servers_tests "many servers: more of them*")
 target_include_directories(snowshore_platform_tests PRIVATE tests)
 target_link_libraries(snowshore_platform_tests PRIVATE snowshore_platform Catch2::Catch2)
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -373,6 +373,9 @@
   std::shared_ptr<Link> oldest;
   for (const auto &link : links_) {
     bool idle = link->state == State::open && link->set_ups.empty();
+    asio::error_code failed;
+    if (idle && link->socket.available(failed) > 0)
+      continue; // its server has said something: that is read first
     if (idle && (!oldest || link->opened_at < oldest->opened_at)) oldest = link;
   }
   return oldest;
--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -141,3 +141,35 @@
   }
   CHECK_FALSE(PlatformScene::said(peer, "FINISH", first)); // it still plays, on the connection it has
 }
+
+TEST_CASE("many servers: a connection goes to make room with a server's release unread on it", "[many]") {
+  constexpr int kHolding = 12;
+  constexpr unsigned kSockets = 32;
+  PlatformScene scene(kHolding, "safe", [&](nlohmann::json &config) {
+    config["limits"]["sockets"] = kSockets;
+    config["settings"]["family_info"]["cells"] = kHolding;
+    int cell = 0;
+    for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"]) target["pod_group"] = cell++;
+  });
+  std::size_t room = platform::share_out(kSockets, 48).servers;
+  RawPeer &peer = scene.viewer();
+  auto ask = [&](std::size_t home) {
+    std::string tag = scene.next_tag(), line = PlatformScene::start(tag);
+    line.replace(line.find("home:0"), 6, "home:" + std::to_string(home));
+    peer.say(line);
+    return tag;
+  };
+  std::string first;
+  for (std::size_t s = 0; s < room; ++s) {
+    std::string tag = ask(s);
+    if (s == 0) first = tag;
+    REQUIRE(scene.until([&] { return PlatformScene::said(peer, "STARTED", tag); }, 1.5));
+  }
+  scene.run(0.4);
+  std::string next =
+      ask(room); // wants the place of the oldest connection, on which a release has just arrived
+  RawServer::say(*scene.servers[0]->server.links[0],
+                 StandIn::request(first, "TEARDOWN", {{"Reason", "cause=16"}}));
+  CHECK(scene.until([&] { return PlatformScene::said(peer, "STARTED", next); }, 1.5));
+  CHECK(scene.until([&] { return PlatformScene::said(peer, "FINISH", first); }, 1));
+}
