Soak: a session is handed over under the id that its server had when it began

Cause: servers that were replaced at their address had a new id, and clients named that for sessions of the old one, so that a front end could not know of their end (seeds 126, 130, 131: each late end was handed over after its server was replaced). The check of ends is as before.

--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -41,10 +41,10 @@
     fronts_.push_back(std::make_unique<FrontProcess>(scenario, files_, f, listen));
     clients_.push_back(std::make_unique<Clients>(io, scenario, ledger, f, listen, chance_.word()));
     clients_.back()->server_name_of = [this](std::uint64_t session) {
-      int server = ledger_.server_of(session);
-      if (server < 0) return std::string();
+      std::uint32_t id = ledger_.server_id_of(session);
+      if (id == 0) return std::string();
       char text[16];
-      std::snprintf(text, sizeof text, "s-%08x", servers_[static_cast<std::size_t>(server)]->id());
+      std::snprintf(text, sizeof text, "s-%08x", id);
       return std::string(text);
     };
   }
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -201,10 +201,11 @@
   }
 }
 
-void Ledger::session_active(std::uint64_t session, int server, const std::string &description) {
+void Ledger::session_active(std::uint64_t session, int server, std::uint32_t id,
+                            const std::string &description) {
   Session *its = find(session);
   if (!its) return;
-  its->server = server, its->active_at = now(), its->over_at = -1;
+  its->server = server, its->server_id = id, its->active_at = now(), its->over_at = -1;
   its->descriptions.push_back(description);
 }
 
@@ -376,9 +377,9 @@
   }
 }
 
-int Ledger::server_of(std::uint64_t session) const {
+std::uint32_t Ledger::server_id_of(std::uint64_t session) const {
   auto it = sessions_.find(session);
-  return it == sessions_.end() ? -1 : it->second.server;
+  return it == sessions_.end() ? 0 : it->second.server_id;
 }
 
 // ---- Processes.
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -63,7 +63,7 @@
   // ---- Servers.
   void attempt_arrived(std::uint64_t session, int server, int rung, int front, double connection_since);
   void attempt_ended(std::uint64_t session, int server, bool never_ran, const char *how);
-  void session_active(std::uint64_t session, int server, const std::string &description);
+  void session_active(std::uint64_t session, int server, std::uint32_t id, const std::string &description);
   void session_over(std::uint64_t session, int server, const char *how);
   void release_written(std::uint64_t session);
   void front_released(std::uint64_t session, int server);
@@ -86,7 +86,8 @@
   void front_denied(int front, const std::string &line); // of its log
   void front_uses(int front, double resident_mb, int descriptors);
 
-  int server_of(std::uint64_t session) const; // where it is or was active; below 0: nowhere
+  // The id in the list of the server at which it is or was active, as it was then; 0: nowhere.
+  std::uint32_t server_id_of(std::uint64_t session) const;
 
   void look(double at); // checks that have come due
   void close();         // the end of the run: everything owed is judged
@@ -118,6 +119,7 @@
     bool excused = false, client_connected = true;
     std::vector<Attempt> attempts;
     int server = -1; // where it is or was active
+    std::uint32_t server_id = 0;
     double active_at = -1, over_at = -1, release_at = -1, told_over_at = -1, client_ends_at = -1,
            handed_at = -1;
     bool released_by_front = false, is_lost_with_front = false;
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -177,7 +177,7 @@
   }
   std::string description = "v=" + id + ";" + std::to_string(index_);
   ledger_.attempt_ended(session, index_, false, "served");
-  ledger_.session_active(session, index_, description);
+  ledger_.session_active(session, index_, id_, description);
   Session &its = sessions_[session];
   its = {link->front, now() + 0.2 + chance_.exponential(scenario_.traffic.session), link};
   std::string text = rtsp_answer(id, 1, 200, kGauges, description);
