--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -73,3 +73,8 @@
                                       --out ${CMAKE_BINARY_DIR}/soak/lost)
 set_tests_properties(soak.finds-lost PROPERTIES PASS_REGULAR_EXPRESSION "BROKEN lost")
 set_tests_properties(soak.list-changes-at-3200-servers soak.finds-lost PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
+# Seeds that broke a rule by hand and are not mended; KNOWN-RED.txt names them.
+foreach(seed 115 130 223)
+  add_test(NAME soak.open.${seed} COMMAND snowshore-lab soak --seed ${seed} --out ${CMAKE_BINARY_DIR}/soak/open-${seed})
+  set_tests_properties(soak.open.${seed} PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
+endforeach()
