--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -216,9 +216,11 @@
   note(session, text_of("server %d: the session is over (%s)", server, how));
 }
 
-void Ledger::release_written(std::uint64_t session) {
+// A server whose answer was given up may hold the session as well, and releases it: that says nothing of the
+// active one.
+void Ledger::release_written(std::uint64_t session, int server) {
   Session *its = find(session);
-  if (!its) return;
+  if (!its || its->server != server) return;
   if (its->release_at < 0) its->release_at = now();
   note(session, "server has written its release");
 }
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -65,7 +65,7 @@
   void attempt_ended(std::uint64_t session, int server, bool never_ran, const char *how);
   void session_active(std::uint64_t session, int server, std::uint32_t id, const std::string &description);
   void session_over(std::uint64_t session, int server, const char *how);
-  void release_written(std::uint64_t session);
+  void release_written(std::uint64_t session, int server);
   void front_released(std::uint64_t session, int server);
 
   // ---- Discovery.
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -217,14 +217,14 @@
   releases_.push_back({session, its.front, link != nullptr});
   if (link)
     link->wire->say(rtsp_request("TEARDOWN", hex16(session), "Reason: cause=16\r\n"),
-                    [this, session] { ledger_.release_written(session); });
+                    [this, session] { ledger_.release_written(session, index_); });
 }
 
 void StandInServer::say_releases(int front, const LinkRef &opened) {
   for (const Release &one : releases_) {
     if (one.front == front)
       opened->wire->say(rtsp_request("TEARDOWN", hex16(one.session), "Reason: cause=16\r\n"),
-                        [this, session = one.session] { ledger_.release_written(session); });
+                        [this, session = one.session] { ledger_.release_written(session, index_); });
   }
   std::erase_if(releases_, [&](const Release &one) { return one.front == front; });
 }
