--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -25,8 +25,9 @@
   };
   Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers);
   void attach(edge::Core &core) { core_ = &core; }
-  void start();  // the watch
-  // The planned end: no connection is opened only to listen any more; the next life hears what is said on its own.
+  void start(); // the watch
+  // The planned end: no connection is opened only to listen any more; the next life hears what is said on its
+  // own.
   void drain() { draining_ = true; }
   void reload(); // other times and limits stand in the configuration now
 
