--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -159,6 +159,7 @@
     if (kind != ListKind::changes) {
       for (Server &server : servers_) server.listed = false;
     }
+    work_.for_lists += entries.size() + (kind != ListKind::changes ? servers_.size() : 0);
     for (const ServerEntry &entry : entries) {
       if (entry.server >= static_cast<int>(servers_.size()))
         servers_.resize(at(entry.server) + 1), open_.reserve(servers_.size());
@@ -294,6 +295,8 @@
             age(uplink)};
   }
 
+  DecisionWork work() const override { return work_; }
+
   void timer(int label) override {
     if (label == kAskList) answers_.follow_list();
     if (label == kPlace) {
@@ -306,6 +309,7 @@
     }
     if (label != kReview) return;
     for (Link &rack : racks_) lower(rack);
+    work_.for_reviews += servers_.size();
     for (Server &server : servers_) {
       if (server.listed) server.listed_at = now_;
       if (!server.plays.empty()) {
@@ -464,9 +468,10 @@
 
   // The play of ours on this link whose step earns most for its rate (up) or loses least (down); of equals
   // the one of the lowest index.
-  int pick_step(const Link &link, int by) const {
+  int pick_step(const Link &link, int by) {
     int best = -1;
     double best_earning = 0;
+    work_.for_reviews += servers_.size();
     for (const Server &server : servers_) {
       if (server.plays.empty() || (&server.link != &link && &racks_[at(server.rack)] != &link)) continue;
       for (int p : server.plays) {
@@ -623,6 +628,7 @@
   void size_links() {
     bool by_places = text("weight_meaning") == "none";
     double places = 0, listed = 0;
+    work_.for_lists += 2 * servers_.size();
     for (const Server &server : servers_) {
       if (server.listed) places += places_of(server), ++listed;
     }
@@ -703,6 +709,7 @@
   // A symptom that most servers share says more of the front or the network than of them: serve on.
   void find_open(const Play &play) {
     int listed = 0, avoided = 0;
+    work_.for_placements += 2 * servers_.size();
     for (const Server &server : servers_) {
       listed += server.listed;
       avoided += server.listed && now_ < server.avoid_until;
@@ -885,6 +892,7 @@
   double fronts_ = 1, warm_up_ = 0, note_delay_ = 1, usual_set_up_ = kSetUpGuess;
   int cells_ = 1, products_ = 1, allowed_ = 1, front_index_ = 0;
   bool uplinks_told_ = false, may_probe_ = false, handed_over_ = false;
+  DecisionWork work_;
   std::vector<Server> servers_;
   std::vector<Link> racks_;
   std::vector<Play> plays_;
--- a/src/decision/policy.h
+++ b/src/decision/policy.h
@@ -73,6 +73,11 @@
   virtual void log(const std::string &text) = 0;
 };
 
+// How many servers the module has looked at so far, by reason: cost that must not grow with the list.
+struct DecisionWork {
+  std::uint64_t for_lists = 0, for_placements = 0, for_reviews = 0;
+};
+
 class Front {
  public:
   virtual ~Front() = default;
@@ -95,6 +100,7 @@
   virtual void given_changed(const Given &given) = 0;
 
   virtual ServerView view_of(int server) const = 0; // for operators; decides nothing
+  virtual DecisionWork work() const { return {}; }  // likewise
 };
 
 std::unique_ptr<Front> make_front(const Given &given, std::uint64_t seed, double now, Answers &answers);
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -1,5 +1,6 @@
 #include "edge/core.h"
 #include "decision/names.h"
+#include "given/hex_id.h"
 
 #include <xxhash.h>
 
@@ -15,6 +16,7 @@
 namespace {
 
 constexpr double kGuardEvery = 0.01;
+constexpr double kLongCall = 0.005; // seconds
 
 } // namespace
 
@@ -95,7 +97,17 @@
   guard();
 }
 
-void Core::note_decision(double seconds) { counters_->decision.Observe(seconds); }
+void Core::note_decision(double seconds) {
+  counters_->decision.Observe(seconds);
+  note_load(seconds);
+}
+
+void Core::note_load(double seconds) {
+  ++load_.calls;
+  load_.long_calls += seconds > kLongCall;
+  load_.longest = std::max(load_.longest, seconds);
+}
+
 void Core::count_ended(const char *why) { counters_->ended(why).Increment(); }
 
 // The module, at the start and where the shape of what it knows has changed and nothing is in hand.
@@ -173,8 +185,10 @@
   HeldPlay &play = plays_.at(index);
   if (play.state != PlayState::asked && play.state != PlayState::allocating) return;
   counters_->plays(play.cause == Cause::overdue ? "failed" : "left", play.cause).Increment();
-  if (log_.writes(telemetry::Level::debug))
-    log_.debug("left", {{"serial", play.serial}, {"state", name_of(play.state)}});
+  if (log_.writes(telemetry::Level::info))
+    log_.info("left", {{"session", given::write_hex16(play.id)},
+                       {"state", name_of(play.state)},
+                       {"after", clock_.exact() - play.asked_at}});
   if (play.state == PlayState::asked) {
     decide([&] { front_->viewer_left(index); }); // the module forgets it
     return;
@@ -205,7 +219,7 @@
   counters_->answer.Observe(now - play.asked_at);
   counters_->added.Observe(play.added);
   if (log_.writes(telemetry::Level::info))
-    log_.info(outcome, {{"serial", play.serial},
+    log_.info(outcome, {{"session", given::write_hex16(play.id)},
                         {"title", titles_.id(play.title)},
                         {"product", terms_.products[static_cast<std::size_t>(play.product)].name},
                         {"server", play.server >= 0 ? servers_.id(play.server) : ""},
@@ -270,11 +284,12 @@
   counters_->allocations(result.outcome).Increment();
   if (!result.started) {
     play.cause = cause_of(result.outcome);
-    if (log_.writes(telemetry::Level::debug))
-      log_.debug("allocation", {{"serial", play.serial},
-                                {"server", servers_.id(play.server)},
-                                {"number", allocation},
-                                {"outcome", given::name_of(result.outcome)}});
+    if (log_.writes(telemetry::Level::info))
+      log_.info("attempt_ended", {{"session", given::write_hex16(play.id)},
+                                  {"server", servers_.id(play.server)},
+                                  {"number", allocation},
+                                  {"outcome", given::name_of(result.outcome)},
+                                  {"took", result.took}});
     plays_.become(index, PlayState::asked);
     decide([&] { front_->allocation_ended(index, allocation, result.outcome, false, result.load); });
     return;
@@ -398,7 +413,9 @@
 // ---- The list.
 
 void Core::on_list(ServerList list) {
+  double from = telemetry::steady_now();
   std::vector<ServerEntry> entries;
+  servers_listed_ += list.servers.size() + list_.servers.size();
   for (const ListedServer &one : list.servers) {
     ServerEntry entry;
     entry.server = servers_.index_of(one.id);
@@ -426,11 +443,14 @@
   list_version_ = list.version;
   list_at_ = clock_.now();
   counters_->list_changes.Increment();
-  log_.info("list", {{"version", list.version}, {"servers", list.servers.size()}});
+  log_.info("list", {{"version", list.version},
+                     {"servers", list.servers.size()},
+                     {"took", telemetry::steady_now() - from}});
   bool first = !has_list_;
   has_list_ = true;
   list_ = std::move(list);
   decide([&] { front_->list_changed(first ? ListKind::held : ListKind::full, entries); });
+  note_load(telemetry::steady_now() - from);
 }
 
 // ---- What operators see.
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -68,6 +68,15 @@
   int server_of(const std::string &id) const { return servers_.find(id); }
   const CoreTerms &terms() const { return terms_; }
   bool has_list() const { return has_list_; }
+  // Servers looked at for changes of the list, by the core alone and by the module for each reason.
+  std::uint64_t servers_listed() const { return servers_listed_; }
+  // Calls on the module and changes of the list: while one runs, nobody is answered.
+  struct Load {
+    std::uint64_t calls = 0, long_calls = 0; // long: over kLongCall
+    double longest = 0;                      // seconds
+  };
+  Load take_load() { return std::exchange(load_, {}); } // since it was last taken
+  DecisionWork decision_work() const { return front_->work(); }
   std::size_t in_hand() const { // taken, without an answer yet
     return plays_.count(PlayState::asked) + plays_.count(PlayState::allocating);
   }
@@ -141,6 +150,7 @@
     note_decision(std::chrono::duration<double>(std::chrono::steady_clock::now() - from).count());
   }
   void note_decision(double seconds);
+  void note_load(double seconds);
   void make_module();
   void settle(int play, const char *outcome); // counted and logged; the answer has gone out
   void on_list(ServerList list);
@@ -161,7 +171,8 @@
   IdTable<std::string> servers_;
   HeldTable<std::string> titles_;
   IdTable<std::string> halls_, kinds_;
-  std::uint64_t list_version_ = 0;
+  Load load_;
+  std::uint64_t list_version_ = 0, servers_listed_ = 0;
   double list_at_ = 0, last_allocation_ = -1e9;
   bool has_list_ = false;
   ServerList list_; // in force
--- a/src/feed/client.cpp
+++ b/src/feed/client.cpp
@@ -37,7 +37,7 @@
   heard_at_ = steady_now();
   asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired()) return;
-    events_.list(list_.publish());
+    publish();
     connect();
     watch();
   });
@@ -98,7 +98,7 @@
         reader_.take(std::string_view(buffer_.data(), size), [&](const Event &event) { apply(event); });
     if (std::exchange(changed_, false)) {
       pauses_.reset();
-      events_.list(list_.publish());
+      publish();
       if (alive.expired() || turn != turn_) return;
     }
     if (!readable) {
@@ -134,6 +134,12 @@
   }
 }
 
+void Client::publish() {
+  edge::ServerList list = list_.publish();
+  counters_.servers_copied += list.servers.size();
+  events_.list(std::move(list));
+}
+
 void Client::broken(const char *why) {
   ++counters_.breaks;
   log_.info("channel_broken", {{"cause", why}, {"number", list_.number()}});
--- a/src/feed/client.h
+++ b/src/feed/client.h
@@ -13,7 +13,7 @@
 
 struct Counters {
   std::uint64_t connects = 0, breaks = 0, silences = 0, refused = 0, unreadable = 0, events = 0, repeated = 0,
-                gaps = 0, passed_over = 0;
+                gaps = 0, passed_over = 0, servers_copied = 0;
 };
 
 class Client final : public edge::ListSource {
@@ -35,6 +35,7 @@
   void broken(const char *why);
   void pause();
   void apply(const Event &event);
+  void publish();
   void watch();
 
   asio::io_context &io_;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -101,6 +101,15 @@
   });
 }
 
+PlatformFront::Work PlatformFront::work() {
+  DecisionWork decision = core_.decision_work();
+  Work out;
+  out.for_lists = channel_->counters().servers_copied + core_.servers_listed() + decision.for_lists;
+  out.for_placements = decision.for_placements;
+  out.idle = decision.for_reviews + servers_.peer_counters().looks + servers_.counters().servers_walked;
+  return out;
+}
+
 // What the front believes beside what its sockets carried, at an interval.
 void PlatformFront::report() {
   report_timer_.expires_after(span(kReportEvery));
@@ -112,75 +121,80 @@
     const auto &s = servers_.counters();
     const auto &p = servers_.peer_counters();
     const auto &c = channel_->counters();
+    Work w = work();
+    edge::Core::Load load = core_.take_load();
     nlohmann::json answers, outcomes, downs;
     for (const auto &[name, count] : core_.answers_so_far()) answers[name] = count;
     for (std::size_t o = 0; o < s.outcomes.size(); ++o)
       outcomes[std::string(given::kOutcomeNames[o])] = s.outcomes[o];
     for (std::size_t d = 0; d < s.downs.size(); ++d) downs[rtsp::kEndNames[d]] = s.downs[d];
-    log_.info("summary",
-              {{"resident_kb", resident_kb()},
-               {"cpu", cpu_seconds()},
-               {"connections", {{"viewers", viewers_.connections()}, {"servers", servers_.connections()}}},
-               {"shares", {{"viewers", boot_.shares.viewers}, {"servers", boot_.shares.servers}}},
-               {"in_hand", core_.in_hand()},
-               {"unsent", viewers_.unsent()},
-               {"playing", core_.plays().count(edge::PlayState::playing)},
-               {"answers", answers},
-               {"outcomes", outcomes},
-               {"downs", downs},
-               {"viewers",
-                {{"set_ups", v.set_ups},
-                 {"handed_over", v.handed_over},
-                 {"left", v.left},
-                 {"released", v.released},
-                 {"refused_bad", v.refused_bad},
-                 {"unreadable", v.unreadable},
-                 {"strangers", v.strangers},
-                 {"no_room", v.no_room},
-                 {"announced_later", v.announced_later},
-                 {"announced_again", v.announced_again},
-                 {"moved_over", v.moved_over},
-                 {"tests", v.tests},
-                 {"accepted", l.accepted},
-                 {"silent_cut", l.silent_cut},
-                 {"room_cut", l.room_cut},
-                 {"unread_cut", l.unread_cut},
-                 {"overlong", l.overlong},
-                 {"accept_faults", l.accept_faults},
-                 {"accept_pauses", l.accept_pauses},
-                 {"lines", l.lines}}},
-               {"servers",
-                {{"connects", p.connects},
-                 {"set_ups", p.set_ups},
-                 {"answers", p.answers},
-                 {"given_up", p.given_up},
-                 {"late", p.late},
-                 {"strangers", p.strangers},
-                 {"no_room", p.no_room},
-                 {"ended_done", s.ended_done},
-                 {"ended_reset", s.ended_reset},
-                 {"ended_left", s.ended_left},
-                 {"notes", s.notes},
-                 {"malformed", s.malformed},
-                 {"lost_silent", s.lost_silent},
-                 {"lost_restarted", s.lost_restarted},
-                 {"lost_gone", s.lost_gone},
-                 {"early_ends", s.early_ends},
-                 {"recalled_unsent", p.recalled_unsent},
-                 {"releases_again", p.releases_again},
-                 {"releases_dropped", p.releases_dropped}}},
-               {"channel",
-                {{"number", core_.list_version()},
-                 {"connects", c.connects},
-                 {"breaks", c.breaks},
-                 {"silences", c.silences},
-                 {"refused", c.refused},
-                 {"unreadable", c.unreadable},
-                 {"events", c.events},
-                 {"repeated", c.repeated},
-                 {"gaps", c.gaps},
-                 {"passed_over", c.passed_over},
-                 {"silent_for", channel_->silent_for()}}}});
+    log_.info(
+        "summary",
+        {{"resident_kb", resident_kb()},
+         {"cpu", cpu_seconds()},
+         {"connections", {{"viewers", viewers_.connections()}, {"servers", servers_.connections()}}},
+         {"shares", {{"viewers", boot_.shares.viewers}, {"servers", boot_.shares.servers}}},
+         {"load", {{"calls", load.calls}, {"long", load.long_calls}, {"longest", load.longest}}},
+         {"servers_visited", {{"lists", w.for_lists}, {"placements", w.for_placements}, {"idle", w.idle}}},
+         {"in_hand", core_.in_hand()},
+         {"unsent", viewers_.unsent()},
+         {"playing", core_.plays().count(edge::PlayState::playing)},
+         {"answers", answers},
+         {"outcomes", outcomes},
+         {"downs", downs},
+         {"viewers",
+          {{"set_ups", v.set_ups},
+           {"handed_over", v.handed_over},
+           {"left", v.left},
+           {"released", v.released},
+           {"refused_bad", v.refused_bad},
+           {"unreadable", v.unreadable},
+           {"strangers", v.strangers},
+           {"no_room", v.no_room},
+           {"announced_later", v.announced_later},
+           {"announced_again", v.announced_again},
+           {"moved_over", v.moved_over},
+           {"tests", v.tests},
+           {"accepted", l.accepted},
+           {"silent_cut", l.silent_cut},
+           {"room_cut", l.room_cut},
+           {"unread_cut", l.unread_cut},
+           {"overlong", l.overlong},
+           {"accept_faults", l.accept_faults},
+           {"accept_pauses", l.accept_pauses},
+           {"lines", l.lines}}},
+         {"servers",
+          {{"connects", p.connects},
+           {"set_ups", p.set_ups},
+           {"answers", p.answers},
+           {"given_up", p.given_up},
+           {"late", p.late},
+           {"strangers", p.strangers},
+           {"no_room", p.no_room},
+           {"ended_done", s.ended_done},
+           {"ended_reset", s.ended_reset},
+           {"ended_left", s.ended_left},
+           {"notes", s.notes},
+           {"malformed", s.malformed},
+           {"lost_silent", s.lost_silent},
+           {"lost_restarted", s.lost_restarted},
+           {"lost_gone", s.lost_gone},
+           {"early_ends", s.early_ends},
+           {"recalled_unsent", p.recalled_unsent},
+           {"releases_again", p.releases_again},
+           {"releases_dropped", p.releases_dropped}}},
+         {"channel",
+          {{"number", core_.list_version()},
+           {"connects", c.connects},
+           {"breaks", c.breaks},
+           {"silences", c.silences},
+           {"refused", c.refused},
+           {"unreadable", c.unreadable},
+           {"events", c.events},
+           {"repeated", c.repeated},
+           {"gaps", c.gaps},
+           {"passed_over", c.passed_over},
+           {"silent_for", channel_->silent_for()}}}});
     report();
   });
 }
--- a/src/platform/front.h
+++ b/src/platform/front.h
@@ -19,6 +19,12 @@
   Viewers &viewers() { return viewers_; }
   Servers &servers() { return servers_; }
 
+  // Servers looked at so far, whatever for: cost that must not grow with the list.
+  struct Work {
+    std::uint64_t for_lists = 0, for_placements = 0, idle = 0;
+  };
+  Work work();
+
   // The file as it is now, in place of the last; why it can't be taken (then nothing has changed).
   std::optional<std::string> change(Boot next);
   // The planned end: goes on serving while requests may still come, then answers what it has and is done.
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -41,6 +41,7 @@
 
 // Evenly over the servers that may be connected to.
 void Servers::share_descriptors() {
+  counters_.servers_walked += sites_.size();
   auto listed = static_cast<std::size_t>(
       std::ranges::count_if(sites_, [](const auto &s) { return s && s->entry.standing != Standing::left; }));
   limits_.connections =
@@ -51,6 +52,7 @@
 
 std::size_t Servers::connections() const {
   std::size_t sum = 0;
+  counters_.servers_walked += sites_.size();
   for (const auto &one : sites_) sum += one && one->peer ? one->peer->connections() : 0;
   return sum;
 }
@@ -132,6 +134,7 @@
 bool Servers::make_room() {
   std::vector<int> plays = playing();
   for (bool with_plays : {false, true}) {
+    counters_.servers_walked += sites_.size();
     for (std::size_t s = 0; s < sites_.size(); ++s) {
       bool spare = sites_[s] && sites_[s]->peer && (plays[s] > 0) == with_plays;
       if (spare && (!with_plays || sites_[s]->peer->open() > 1) && sites_[s]->peer->drop_idle()) return true;
@@ -142,6 +145,7 @@
 
 std::vector<int> Servers::playing() const { // plays that stand, by server
   std::vector<int> plays(sites_.size());
+  counters_.servers_walked += sites_.size();
   core_->plays().each([&](int play) {
     const HeldPlay &held = core_->plays().at(play);
     if (held.state == PlayState::playing) ++plays[static_cast<std::size_t>(held.server)];
@@ -170,6 +174,7 @@
     // A front that stood still itself has not listened: what servers said meanwhile is read first.
     bool stood_still = now - std::exchange(watched_at_, now) > kStoodStill;
     std::vector<int> plays = playing();
+    counters_.servers_walked += plays.size();
     for (std::size_t s = 0; s < plays.size(); ++s) {
       if (plays[s] == 0 || !sites_[s]) continue;
       if (stood_still) sites_[s]->life.heard(now);
@@ -334,6 +339,7 @@
 
 void Servers::report() {
   std::vector<int> plays = playing();
+  counters_.servers_walked += sites_.size();
   for (std::size_t s = 0; s < sites_.size(); ++s) {
     if (!sites_[s]) continue;
     Site &one = *sites_[s];
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -18,8 +18,9 @@
  public:
   struct Counters {
     std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, notes = 0, malformed = 0, strangers = 0,
-                  early_ends = 0, lost_silent = 0, lost_restarted = 0, lost_gone = 0;
-    std::array<std::uint64_t, 8> outcomes{};                       // of set-ups
+                  early_ends = 0, lost_silent = 0, lost_restarted = 0, lost_gone = 0,
+                  servers_walked = 0;        // looked at one after another, whatever for
+    std::array<std::uint64_t, 8> outcomes{}; // of set-ups
     std::array<std::uint64_t, std::size(rtsp::kEndNames)> downs{}; // of connections
   };
   Servers(asio::io_context &io, const Boot &boot, telemetry::Log &log, Viewers &viewers);
@@ -83,7 +84,7 @@
   rtsp::Limits limits_;
   LivenessTerms liveness_terms_;
   rtsp::PeerCounters peer_counters_;
-  Counters counters_;
+  mutable Counters counters_;
   std::vector<std::unique_ptr<Site>> sites_; // by server
   std::deque<EarlyEnd> early_ends_;
   std::uint64_t next_serial_ = 1;
--- a/src/platform/viewers.cpp
+++ b/src/platform/viewers.cpp
@@ -47,7 +47,7 @@
 void Viewers::listen() {
   jsonlines::Server::Events events;
   events.line = [this](Connection from, std::string_view line) { on_line(from, line); };
-  events.closed = [this](Connection which, const char *) { on_closed(which); };
+  events.closed = [this](Connection which, const char *why) { on_closed(which, why); };
   server_ = std::make_unique<jsonlines::Server>(io_, boot_.listen, limits(), std::move(events));
 }
 
@@ -184,11 +184,13 @@
   core_->released(held);
 }
 
-void Viewers::on_closed(Connection which) {
+void Viewers::on_closed(Connection which, const char *why) {
   std::vector<int> open; // given up with their connection
   for (std::size_t play = 0; play < at_door_.size(); ++play) {
     if (at_door_[play].open && at_door_[play].connection == which) open.push_back(static_cast<int>(play));
   }
+  if (!open.empty())
+    log_.info("connection_ended", {{"connection", which}, {"cause", why}, {"requests", open.size()}});
   for (int play : open) {
     ++counters_.left;
     if (at_door(play).open) core_->player_left(play);
--- a/src/platform/viewers.h
+++ b/src/platform/viewers.h
@@ -72,7 +72,7 @@
   }
   jsonlines::Limits limits() const;
   void on_line(Connection from, std::string_view line);
-  void on_closed(Connection which);
+  void on_closed(Connection which, const char *why);
   void start(Connection from, const jsonlines::Message &message);
   void finish(Connection from, const jsonlines::Message &message);
   // The terms, or what is wrong with them.
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -393,6 +393,7 @@
   look_timer_.expires_after(span(kLookEvery));
   look_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
+    ++counters_.looks;
     auto all = std::vector(links_.begin(), links_.end());
     for (auto &link : all) {
       double age = steady_now() - link->used_at;
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -43,7 +43,7 @@
 
 struct PeerCounters {
   std::uint64_t connects = 0, set_ups = 0, answers = 0, given_up = 0, late = 0, strangers = 0, no_room = 0,
-                recalled_unsent = 0, releases_again = 0, releases_dropped = 0;
+                recalled_unsent = 0, releases_again = 0, releases_dropped = 0, looks = 0;
 };
 
 class Peer {
