--- a/src/feed/client.cpp
+++ b/src/feed/client.cpp
@@ -14,7 +14,7 @@
 // The channel sends an empty frame every second: two missing are a halt, found well within the 4 s after
 // which what it would have told counts as told.
 constexpr double kSilence = 2.2;
-constexpr double kConnectTime = 1.5; // connections may come up a second late
+constexpr double kConnectTime = 1.5;                      // connections may come up a second late
 constexpr double kFirstPause = 0.05, kLongestPause = 0.4; // within the 2 s after a break, with tries to spare
 constexpr double kWatchEvery = 0.1;
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -187,6 +187,7 @@
            {"lost_restarted", s.lost_restarted},
            {"lost_gone", s.lost_gone},
            {"early_ends", s.early_ends},
+           {"made_room", s.made_room},
            {"recalled_unsent", p.recalled_unsent},
            {"releases_again", p.releases_again},
            {"releases_dropped", p.releases_dropped}}},
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -1,4 +1,5 @@
 #include "platform/servers.h"
+#include "decision/connection_budget.h"
 #include "decision/names.h"
 #include "given/translate.h"
 #include "platform/ends.h"
@@ -148,18 +149,21 @@
   lost(server, "gone", counters_.lost_gone);
 }
 
-// All connections to servers are in use: one goes that carries no set-up, of a server without plays of ours
-// before one that says something.
+// All connections to servers are in use: one goes, by the connection budget.
 bool Servers::make_room() {
-  for (bool with_plays : {false, true}) {
-    for (int s : with_peer_) {
-      ++counters_.servers_walked;
-      rtsp::Peer &peer = *site(s)->peer;
-      bool spare = (plays_at(s) > 0) == with_plays && (!with_plays || peer.open() > 1);
-      if (spare && peer.drop_idle()) return true;
-    }
+  std::vector<ConnectionUse> uses;
+  for (int s : with_peer_) {
+    ++counters_.servers_walked;
+    const rtsp::Peer &peer = *site(s)->peer;
+    if (auto since = peer.idle_open_since()) uses.push_back({s, plays_at(s), peer.open(), *since});
   }
-  return false;
+  double now = telemetry::steady_now();
+  auto server = connection_to_close(uses, now);
+  if (!server) return false;
+  ++counters_.made_room;
+  site(*server)->set_aside_until = now + ConnectionBudget::kVisitEvery;
+  site(*server)->peer->drop_idle();
+  return true;
 }
 
 void Servers::lost(int server, const char *why, std::uint64_t &counter, double before) {
@@ -203,6 +207,8 @@
   if (!peer) return lost(server, "gone", counters_.lost_gone);
   bool gone = one.entry.standing == Standing::left; // its address may be another's
   if (std::exchange(one.ask_again, false) && !gone) peer->ask();
+  bool set_aside = peer->connections() == 0 && telemetry::steady_now() < one.set_aside_until;
+  if (set_aside && !gone) return; // its connection went to make room: it is visited again then
   switch (one.life.judge(now, peer->open() > 0, !gone)) {
   case Liveness::Verdict::ask:
     return peer->ask();
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -18,7 +18,7 @@
  public:
   struct Counters {
     std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, notes = 0, malformed = 0, strangers = 0,
-                  early_ends = 0, lost_silent = 0, lost_restarted = 0, lost_gone = 0,
+                  early_ends = 0, lost_silent = 0, lost_restarted = 0, lost_gone = 0, made_room = 0,
                   servers_walked = 0;        // looked at one after another, whatever for
     std::array<std::uint64_t, 8> outcomes{}; // of set-ups
     std::array<std::uint64_t, std::size(rtsp::kEndNames)> downs{}; // of connections
@@ -53,6 +53,7 @@
     std::unique_ptr<rtsp::Peer> peer;
     Liveness life;
     bool ask_again = false, known = false; // known: the list has named it
+    double set_aside_until = 0;            // its connection was closed to make room; steady clock
     std::uint64_t serial = 0;              // its index may be another's by then
     std::uint64_t sent = 0, started = 0, refused = 0, failed = 0, notes = 0; // since the last report
     explicit Site(const LivenessTerms &terms) : life(terms) {}
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -50,7 +50,7 @@
   std::string sending;
   std::vector<std::uint64_t> set_ups; // open on it
   bool retired = false;
-  double used_at = 0, heard_at = 0, partial_since = -1, retired_at = 0;
+  double opened_at = 0, used_at = 0, heard_at = 0, partial_since = -1, retired_at = 0;
   std::array<char, 4096> buffer;
   explicit Link(asio::io_context &io) : socket(io), timer(io) {}
 };
@@ -134,7 +134,7 @@
     asio::error_code ignored;
     link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     become(*link, State::open);
-    link->used_at = steady_now();
+    link->opened_at = link->used_at = steady_now();
     if (!link->waiting.empty()) write(link);
     read(link);
     say_releases();
@@ -369,14 +369,22 @@
     connect();
 }
 
-bool Peer::drop_idle() {
+std::shared_ptr<Peer::Link> Peer::oldest_idle() const {
   std::shared_ptr<Link> oldest;
-  for (auto &link : links_) {
-    if (link->state == State::open && link->set_ups.empty() && (!oldest || link->used_at < oldest->used_at))
-      oldest = link;
+  for (const auto &link : links_) {
+    bool idle = link->state == State::open && link->set_ups.empty();
+    if (idle && (!oldest || link->opened_at < oldest->opened_at)) oldest = link;
   }
-  if (oldest) end(oldest, End::closed);
-  return oldest != nullptr;
+  return oldest;
+}
+
+std::optional<double> Peer::idle_open_since() const {
+  auto link = oldest_idle();
+  return link ? std::optional(link->opened_at) : std::nullopt;
+}
+
+void Peer::drop_idle() {
+  if (auto link = oldest_idle()) end(link, End::no_room);
 }
 
 // No new set-ups on it; it goes once those on it have ended, a moment later.
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -82,7 +83,10 @@
   void look(); // ten times a second: half messages, connections to close, releases to say again
   bool owes_releases() const; // some are not yet written to a connection that is up
   bool is_unused() const { return links_.empty() && out_.empty() && releases_.empty() && !probe_; }
-  bool drop_idle(); // closes the connection without set-ups that was longest of no use; false: there is none
+  // Since when the oldest connection without set-ups is open, seconds of the steady clock; nothing: there is
+  // none.
+  std::optional<double> idle_open_since() const;
+  void drop_idle(); // closes that one; its end is said as no_room
   void end_all();   // closes all; each set-up and connection is said to have ended
   void shut();      // closes all; no event comes any more, whatever is still under way
 
@@ -103,6 +107,7 @@
   enum class State { connecting, open, closed };
   void become(Link &link, State next);
   std::shared_ptr<Link> choose(bool for_set_up);
+  std::shared_ptr<Link> oldest_idle() const; // of those that are up
   std::shared_ptr<Link> connect();
   void say(const std::shared_ptr<Link> &link, std::uint64_t session, std::string text);
   void write(const std::shared_ptr<Link> &link);
--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -72,3 +72,41 @@
   auto after = scene.front->work();
   CHECK(after.idle - before.idle < 200);
 }
+
+TEST_CASE(
+    "many servers: more of them hold sessions than connections may be open, and set-ups or ends are lost",
+    "[many]") {
+  constexpr int kHolding = 14;
+  constexpr unsigned kSockets = 32;
+  REQUIRE(platform::share_out(kSockets, 48).servers < kHolding);
+  PlatformScene scene(kHolding, "safe", [&](nlohmann::json &config) {
+    config["limits"]["sockets"] = kSockets;
+    config["settings"]["family_info"]["cells"] = kHolding;
+    int cell = 0;
+    for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"]) target["pod_group"] = cell++;
+  });
+  RawPeer &peer = scene.viewer();
+  std::vector<std::string> tags;
+  for (int s = 0; s < kHolding; ++s) {
+    tags.push_back(scene.next_tag());
+    std::string line = PlatformScene::start(tags.back());
+    line.replace(line.find("home:0"), 6, "home:" + std::to_string(s));
+    peer.say(line);
+    CHECK(scene.until([&] { return PlatformScene::said(peer, "STARTED", tags.back()); }, 1.5));
+    scene.run(0.3);
+  }
+  CHECK(scene.front->servers().connections() <= platform::share_out(kSockets, 48).servers);
+  // Each server says its release on a connection that is open, or on the next that opens.
+  std::vector<bool> told(kHolding, false);
+  auto all_told = [&] {
+    for (std::size_t s = 0; s < kHolding; ++s) {
+      auto &links = scene.servers[s]->server.links;
+      if (told[s] || links.empty() || links.back()->closed) continue;
+      told[s] = true;
+      RawServer::say(*links.back(), StandIn::request(tags[s], "TEARDOWN", {{"Reason", "cause=16"}}));
+    }
+    return std::ranges::all_of(tags,
+                               [&](const auto &tag) { return PlatformScene::said(peer, "FINISH", tag); });
+  };
+  CHECK(scene.until(all_told, 8));
+}
