--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -1,11 +1,11 @@
 #include "edge/core.h"
+#include "decision/given_reader.h"
 #include "decision/names.h"
 #include "given/hex_id.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <map>
 #include <random>
@@ -86,13 +86,7 @@
 
 Core::~Core() = default;
 
-double Core::drain_grace() const {
-  auto it = terms_.given.find(given::kDrainGrace);
-  double seconds = 0;
-  if (it != terms_.given.end())
-    std::from_chars(it->second.data(), it->second.data() + it->second.size(), seconds);
-  return seconds;
-}
+double Core::drain_grace() const { return GivenReader(terms_.given).number(given::kDrainGrace, 0); }
 
 void Core::start(std::function<void(Catalogue)> on_catalogue) {
   make_module();
