--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -262,7 +262,13 @@
   }
 }
 
-// ---- The command channel: no change of the list, an empty frame every second.
+// ---- The command channel: events of changes, and an empty frame every second.
+
+struct ListedChange {
+  std::uint32_t id = 0;
+  int port = 0, state = 0, zone = 0, cell = 0;
+  double weight = 1, started_at = 0;
+};
 
 class Channel {
  public:
@@ -270,25 +276,54 @@
     listener_ = listen_on(port_);
     loop_.watch(listener_, [this] {
       accept_all(loop_, listener_, [this](std::shared_ptr<Connection> connection) {
-        connection->on_bytes = [this, connection](const std::string &) { connection->send(frame(0, {})); };
-        connections_.push_back(connection);
+        auto asked = std::make_shared<std::string>();
+        std::weak_ptr<Connection> weak = connection;
+        connection->on_bytes = [this, weak, asked](const std::string &bytes) {
+          auto held = weak.lock();
+          if (asked->size() >= 8 || !held) return;
+          *asked += bytes;
+          if (asked->size() < 8) return;
+          std::uint64_t from = 0;
+          for (std::size_t i = 0; i < 8; ++i) from = from << 8 | static_cast<unsigned char>((*asked)[i]);
+          for (auto &[number, text] : events_) {
+            if (number > from) held->send(text);
+          }
+          held->send(frame(0, {}));
+          connections_.push_back(held);
+        };
       });
     });
     beat();
   }
   int port() const { return port_; }
-  // The number of the last event, which the configuration holds already.
-  std::uint64_t number = 1;
+  // Tells of a change, as the next event. The configuration holds event 1.
+  void tell(const std::vector<ListedChange> &changes) {
+    std::string payload;
+    for (const ListedChange &change : changes) {
+      add(payload, change.id, 4);
+      add(payload, INADDR_LOOPBACK, 4);
+      add(payload, static_cast<std::uint64_t>(change.port), 2);
+      add(payload, static_cast<std::uint64_t>(change.state), 1);
+      add(payload, static_cast<std::uint64_t>(change.zone), 1);
+      add(payload, 0, 1);
+      add(payload, static_cast<std::uint64_t>(change.cell), 2);
+      add(payload, static_cast<std::uint64_t>(change.weight * 1000), 4);
+      add(payload, static_cast<std::uint64_t>(change.started_at * 1000), 8);
+    }
+    ++number_;
+    events_[number_] = frame(2, payload);
+    for (auto &connection : connections_) connection->send(events_[number_]);
+  }
 
  private:
+  static void add(std::string &out, std::uint64_t value, int size) {
+    for (int i = size - 1; i >= 0; --i) out += static_cast<char>(value >> (8 * i) & 255);
+  }
   std::string frame(unsigned char kind, const std::string &payload) const {
     std::string out;
-    auto add = [&](std::uint64_t value, int size) {
-      for (int i = size - 1; i >= 0; --i) out += static_cast<char>(value >> (8 * i) & 255);
-    };
-    add(9 + payload.size(), 4);
-    add(number, 8);
-    out += static_cast<char>(kind);
+    add(out, 9 + payload.size(), 4);
+    add(out, number_, 8);
+    add(out, kind, 1);
     return out + payload;
   }
   void beat() {
@@ -297,6 +332,8 @@
   }
   Loop &loop_;
   int port_ = 0, listener_ = -1;
+  std::uint64_t number_ = 1;
+  std::map<std::uint64_t, std::string> events_;
   std::vector<std::shared_ptr<Connection>> connections_;
 };
 
@@ -331,12 +368,11 @@
   std::function<std::string(const std::string &session, const std::string &description)> make_answer;
   // Called when the session is answered, with the description that the server made for it.
   std::function<void(const std::string &session, const std::string &description)> on_started;
+  // Called when the server ends a session.
+  std::function<void(const std::string &session)> on_ended;
 
   Server(Loop &l, Record &r, const std::string &name) : loop(l), record(r), id(name) {
-    listener_ = listen_on(port);
-    loop.watch(listener_, [this] {
-      accept_all(loop, listener_, [this](std::shared_ptr<Connection> connection) { accept(connection); });
-    });
+    listen();
     loop.at(note_interval, [this] { send_notes(); });
   }
 
@@ -351,12 +387,36 @@
                                                                 "\r\nX-Outcome: " + kind + "\r\nP-Amount: 0.1\r\n");
   }
   std::size_t sessions() const { return sessions_.size(); }
+  // The machine is off: its process, its connections and its sessions are gone. Returns the sessions.
+  std::vector<std::string> lose() {
+    ++life_;
+    loop.unwatch(listener_);
+    ::close(listener_);
+    std::vector<std::string> cut;
+    for (auto &[session, connection] : sessions_) {
+      cut.push_back(session);
+      record.line("%s is off: session %s is cut", id.c_str(), session.c_str());
+    }
+    sessions_.clear();
+    unheard_.clear();
+    auto readers = std::exchange(readers_, {});
+    for (auto &[connection, reader] : readers) connection->close();
+    return cut;
+  }
+  // The machine is back, with a new process at the same address.
+  void listen() {
+    listener_ = listen_on(port);
+    loop.watch(listener_, [this] {
+      accept_all(loop, listener_, [this](std::shared_ptr<Connection> connection) { accept(connection); });
+    });
+  }
   // The server ends a session and says so.
   void end_session(const std::string &session) {
     auto it = sessions_.find(session);
     if (it == sessions_.end()) return;
     auto connection = it->second.lock();
     sessions_.erase(it);
+    if (on_ended) on_ended(session);
     if (!connection || !connection->is_open()) connection = any_open();
     std::string text = release(session);
     record.line("%s ends session %s: %s", id.c_str(), session.c_str(), connection ? "TEARDOWN cause=16 sent" : "no connection");
@@ -420,7 +480,9 @@
     if (method == "SETUP") {
       record.line("%s receives SETUP %s", id.c_str(), session.c_str());
       readers_[connection].open_set_ups.insert(session);
-      loop.at(set_up_takes, [this, connection, session] { start(connection, session); });
+      loop.at(set_up_takes, [this, connection, session, life = life_] {
+        if (life == life_) start(connection, session);
+      });
     } else if (method == "TEARDOWN") {
       bool open = readers_[connection].open_set_ups.erase(session) > 0;
       record.line("%s receives TEARDOWN %s (%s)", id.c_str(), session.c_str(),
@@ -454,7 +516,7 @@
     loop.at(note_interval, [this] { send_notes(); });
   }
 
-  int listener_ = -1;
+  int listener_ = -1, life_ = 0;
   std::map<std::shared_ptr<Connection>, Reader> readers_;
   std::map<std::string, std::weak_ptr<Connection>> sessions_;
   std::set<std::string> unheard_;
@@ -469,6 +531,8 @@
   std::string answer;
   std::string description;
   int answers = 0;
+  // The request as it was sent.
+  Json start;
   // The connection ended without a whole answer.
   bool connection_ended = false;
 };
@@ -518,12 +582,20 @@
                     {"extras", "home:" + std::to_string(home) + ";copies:" + std::to_string(copies) +
                                    ";top:" + std::to_string(top) + ";viewer:" + hex16(0xb4d60000ULL + number)}}},
                   {"blob", made.id + "\r\nc=IN IP4 127.0.0.1\r\nm=video 31000 RTP/AVP 96\r\n"}};
+    made.start = start;
     requests[made.id] = made;
     line->open.insert(made.id);
     record_.line("client sends START %s", made.id.c_str());
     line->connection->send(start.dump() + "\n");
     return made.id;
   }
+  // Hands a session that plays at a playout node over to a front end that has started anew.
+  void hand_over(const std::shared_ptr<Line> &line, const std::string &id, const std::string &server) {
+    Json start = requests[id].start;
+    start["opts"]["extras"] = start["opts"]["extras"].get<std::string>() + ";at:" + server;
+    record_.line("client hands session %s over, at:%s", id.c_str(), server.c_str());
+    line->connection->send(start.dump() + "\n");
+  }
   // Asks the front end for a test; `passed` is called with the result.
   void test(const std::shared_ptr<Line> &line, std::function<void(bool)> passed) {
     on_test_ = std::move(passed);
@@ -582,7 +654,7 @@
 struct FrontOptions {
   std::string folder, run, product = "new-session", effect = "safe";
   double on_time = 0.8, deadline = 4, note_interval = 4;
-  int cells = 3, memory_mb = 192, sockets = 1024;
+  int servers_in_first_hall = 1000, cells = 3, memory_mb = 192, sockets = 1024;
 };
 
 class Front {
@@ -594,7 +666,7 @@
     for (std::size_t i = 0; i < servers.size(); ++i)
       targets.push_back({{"uid", servers[i]->id},
                          {"endpoint", "127.0.0.1:" + std::to_string(servers[i]->port)},
-                         {"az", "hall-a"},
+                         {"az", static_cast<int>(i) < options.servers_in_first_hall ? "hall-a" : "hall-b"},
                          {"model", "two-core"},
                          {"pod_group", static_cast<int>(i) % options.cells},
                          {"state", "active"},
