--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -6,7 +6,7 @@
 int main(int count, char **arguments) {
   if (count != 5) cannot_run("usage: case RUN FOLDER RECORD TROUBLE");
   bool trouble = std::string(arguments[4]) != "0";
-  constexpr double kTraffic = 40, kInterval = 0.4, kNoisyShare = 0.1;
+  constexpr double kTraffic = 60, kInterval = 0.25, kNoisyShare = 0.1;
   constexpr std::size_t kNoiseBytes = 8;
 
   Loop loop;
