--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -49,27 +49,34 @@
   while (loop.now() < until && end.empty()) {
     lines.push_back(clients.open_line());
     clients.request(lines.back(), options.product, options.deadline, static_cast<int>(random() % 3), 3, 3);
+    for (auto &line : lines) clients.close_if_unused(*line);
     loop.run_for(kInterval);
     end = front.ended();
   }
-  if (end.empty()) loop.run_for(options.deadline + 1); // the last answers
+  // The last answers, or what clients see of the front end's end.
+  loop.run_for(end.empty() ? options.deadline + 1 : 0.5);
   end = front.ended();
 
-  int unanswered = 0, started = 0;
+  int unanswered = 0, late = 0, twice = 0, started = 0;
   for (auto &[id, request] : clients.requests) {
     if (request.answer == "STARTED") ++started;
-    // Half a second after its time a request without an answer is lost.
-    if (request.answer.empty() && (!end.empty() || request.deadline + 0.5 < loop.now())) {
+    twice += request.answers > 1;
+    // An answer up to half a second after the request's time, with 50 ms of slack, is not lost.
+    double last = request.deadline + 0.5 + 0.05;
+    if (!request.answer.empty()) {
+      late += request.answered_at > last;
+    } else if (request.connection_ended || loop.now() > last) {
       ++unanswered;
       record.line("lost: request %s has no answer", id.c_str());
     }
   }
   if (!end.empty()) record.line("the front end has ended by itself: %s; its log ends: %s", end.c_str(), front.log_tail().c_str());
-  record.line("%zu requests, %d played, %d answers of servers, %d of them with noise, %d requests without an answer, %s",
-              clients.requests.size(), started, answers, noisy, unanswered,
+  record.line("%zu requests, %d played, %d answers of servers, %d of them with noise, %d requests without an answer, %d answered too late,"
+              " %d answered twice, %s",
+              clients.requests.size(), started, answers, noisy, unanswered, late, twice,
               end.empty() ? "the front end runs" : "the front end has crashed");
   if (started == 0 && end.empty()) return 2;
-  bool broken = !end.empty() || unanswered > 0;
+  bool broken = !end.empty() || unanswered > 0 || late > 0 || twice > 0;
   record.line(broken ? "rule broken" : "rule kept");
   return broken ? 1 : 0;
 }
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -6,9 +6,7 @@
 int main(int count, char **arguments) {
   if (count != 5) cannot_run("usage: case RUN FOLDER RECORD TROUBLE");
   bool trouble = std::string(arguments[4]) != "0";
-  constexpr double kTraffic = 60, kInterval = 0.25, kWrongShare = 0.1;
-  // The stated length is wrong by up to this many bytes, either way.
-  constexpr int kMaxError = 40;
+  constexpr double kTraffic = 100, kInterval = 0.05, kWrongShare = 0.1;
 
   Loop loop;
   Record record(loop, arguments[3]);
@@ -16,24 +14,26 @@
   Channel channel(loop);
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<Server *> listed;
-  int answers = 0, wrong = 0;
+  int answers = 0, too_short = 0, too_long = 0;
   // The descriptions that playout nodes have made, by session.
   std::map<std::string, std::set<std::string>> made;
   for (int i = 0; i < 6; ++i) {
     servers.push_back(std::make_unique<Server>(loop, record, "s-0000000" + std::to_string(i + 1)));
     Server &server = *servers.back();
+    server.session_length = 2;
     server.on_started = [&](const std::string &session, const std::string &description) {
       made[session].insert(description);
     };
     server.make_answer = [&, id = server.id](const std::string &session, const std::string &description) {
-      int error = 0;
+      std::size_t stated = description.size();
       if (trouble && std::uniform_real_distribution<>(0, 1)(random) < kWrongShare) {
-        while (error == 0) error = std::uniform_int_distribution<>(-kMaxError, kMaxError)(random);
-        ++wrong;
+        // Any other length up to twice the right one.
+        while (stated == description.size()) stated = random() % (2 * description.size() + 1);
+        ++(stated < description.size() ? too_short : too_long);
       }
       ++answers;
-      std::string text = Server::answer(session, description, description.size() + static_cast<std::size_t>(error));
-      record.line("%s answers, stated length wrong by %d: %s", id.c_str(), error, printable(text).c_str());
+      std::string text = Server::answer(session, description, stated);
+      record.line("%s answers, stated length %zu of %zu: %s", id.c_str(), stated, description.size(), printable(text).c_str());
       return text;
     };
     listed.push_back(&server);
@@ -54,6 +54,7 @@
   while (loop.now() < until && end.empty()) {
     lines.push_back(clients.open_line());
     clients.request(lines.back(), options.product, options.deadline, static_cast<int>(random() % 3), 3, 3);
+    for (auto &line : lines) clients.close_if_unused(*line);
     loop.run_for(kInterval);
     end = front.ended();
   }
@@ -69,9 +70,9 @@
     ++spoilt;
     record.line("served with something that no playout node made: %s: %s", id.c_str(), printable(request.description).c_str());
   }
-  record.line("%zu requests, %d played, %d answers of servers, %d of them with a wrong length, %d requests without an answer,"
+  record.line("%zu requests, %d played, %d answers of servers, %d with a length too short, %d too long, %d requests without an answer,"
               " %d played with a description that no playout node made",
-              clients.requests.size(), started, answers, wrong, unanswered, spoilt);
+              clients.requests.size(), started, answers, too_short, too_long, unanswered, spoilt);
   if (started == 0 && end.empty()) return 2;
   bool broken = spoilt > 0;
   record.line(broken ? "rule broken" : "rule kept");
--- a/review/standins/standins.hpp
+++ b/review/standins/standins.hpp
@@ -364,7 +364,8 @@
   int port = 0;
   // Time that a set-up takes, length of a session, and interval of the notes on link use, in seconds.
   double set_up_takes = 0.08, session_length = 6, note_interval = 4;
-  // Called for each good answer: may replace the bytes that are written. The session stands at the server.
+  // Called for each good answer: may replace the bytes that are written, which makes it a spoilt one. The session
+  // stands at the server. A connection that carried a spoilt answer is of no more use: nothing follows on it.
   std::function<std::string(const std::string &session, const std::string &description)> make_answer;
   // Called when the session is answered, with the description that the server made for it.
   std::function<void(const std::string &session, const std::string &description)> on_started;
@@ -417,7 +418,7 @@
     auto connection = it->second.lock();
     sessions_.erase(it);
     if (on_ended) on_ended(session);
-    if (!connection || !connection->is_open()) connection = any_open();
+    if (!connection || !is_usable(connection)) connection = any_open();
     std::string text = release(session);
     record.line("%s ends session %s: %s", id.c_str(), session.c_str(), connection ? "TEARDOWN cause=16 sent" : "no connection");
     if (connection) connection->send(text);
@@ -427,6 +428,7 @@
  private:
   struct Reader {
     std::string buffer;
+    bool spoilt = false;
     std::set<std::string> open_set_ups;
   };
   static std::string release(const std::string &session) {
@@ -435,10 +437,14 @@
   }
   std::shared_ptr<Connection> any_open() {
     for (auto &[connection, reader] : readers_) {
-      if (connection->is_open()) return connection;
+      if (is_usable(connection)) return connection;
     }
     return nullptr;
   }
+  bool is_usable(const std::shared_ptr<Connection> &connection) {
+    auto reader = readers_.find(connection);
+    return reader != readers_.end() && connection->is_open() && !reader->second.spoilt;
+  }
   void accept(const std::shared_ptr<Connection> &connection) {
     readers_[connection];
     connection->on_bytes = [this, connection](const std::string &bytes) { read(connection, bytes); };
@@ -488,8 +494,8 @@
       record.line("%s receives TEARDOWN %s (%s)", id.c_str(), session.c_str(),
                   open ? "its set-up is given up" : sessions_.contains(session) ? "a session that stands" : "unknown");
       sessions_.erase(session);
-      connection->send(rtsp_text("RTSP/1.0 200 OK", "CSeq: 2\r\nSession: " + session + "\r\n"));
-    } else if (method == "OPTIONS") {
+      if (is_usable(connection)) connection->send(rtsp_text("RTSP/1.0 200 OK", "CSeq: 2\r\nSession: " + session + "\r\n"));
+    } else if (method == "OPTIONS" && is_usable(connection)) {
       connection->send(rtsp_text("RTSP/1.0 200 OK", "CSeq: 3\r\nSession: " + session + "\r\nX-Gauges: cpu:0.1;x1:0.1\r\n"));
     } else if (method == "RTSP/1.0" && message.header("CSeq") == "2") {
       unheard_.erase(session);
@@ -497,19 +503,20 @@
   }
   void start(const std::shared_ptr<Connection> &connection, const std::string &session) {
     auto reader = readers_.find(connection);
-    if (reader == readers_.end() || reader->second.open_set_ups.erase(session) == 0) return;
+    if (!is_usable(connection) || reader->second.open_set_ups.erase(session) == 0) return;
     std::string description = session + "\r\nc=IN IP4 127.0.0.1\r\nm=video " + std::to_string(port) + " RTP/AVP 96 97 98\r\n";
     sessions_[session] = connection;
     if (on_started) on_started(session, description);
-    std::string text = make_answer ? make_answer(session, description) : answer(session, description);
-    connection->send(text + note(session, "link") + note(session, "uplink"));
+    std::string good = answer(session, description), text = make_answer ? make_answer(session, description) : good;
+    reader->second.spoilt = text != good;
+    connection->send(reader->second.spoilt ? text : text + note(session, "link") + note(session, "uplink"));
     loop.at(session_length, [this, session] { end_session(session); });
   }
   void send_notes() {
     // One session of the front end is named.
     if (!sessions_.empty()) {
       auto connection = sessions_.begin()->second.lock();
-      if (!connection || !connection->is_open()) connection = any_open();
+      if (!connection || !is_usable(connection)) connection = any_open();
       if (connection)
         connection->send(note(sessions_.begin()->first, "link") + note(sessions_.begin()->first, "uplink"));
     }
@@ -547,6 +554,8 @@
     std::shared_ptr<Connection> connection;
     std::string buffer;
     std::set<std::string> open;
+    // The last request that was sent on it.
+    std::string request;
   };
   std::shared_ptr<Line> open_line() {
     auto line = std::make_shared<Line>();
@@ -565,6 +574,13 @@
     };
     return line;
   }
+  // Closes the connection if it has had no session and no open request for 4 s.
+  void close_if_unused(Line &line) {
+    if (!line.connection->is_open() || line.request.empty()) return;
+    const Request &request = requests[line.request];
+    double unused_since = request.answer == "STARTED" ? request.ended_at : request.answered_at;
+    if (unused_since >= 0 && loop_.now() - unused_since > 4) line.connection->close();
+  }
   // Sends one request for a session; `wait` is how long the client waits for the answer, in seconds.
   std::string request(const std::shared_ptr<Line> &line, const std::string &product, double wait, int home, int copies,
                       int top) {
@@ -585,6 +601,7 @@
     made.start = start;
     requests[made.id] = made;
     line->open.insert(made.id);
+    line->request = made.id;
     record_.line("client sends START %s", made.id.c_str());
     line->connection->send(start.dump() + "\n");
     return made.id;
