A description that is not UTF-8 ends its connection, not the front end's process

Cause: jsonlines::write_started() gave the description to a JSON writer that throws on text that is not UTF-8. The RTSP reader did not look at a message's encoding, and nothing between the gateway and run_platform() caught the exception.

Change: RTSP is text in UTF-8 (RFC 2326, section 4), so a head or body that is not is a syntax error of the reader: the connection closes as unreadable and its set-ups end as `error`, like other noise. write_started() returns nothing for text that no line can carry, and its client is told of a failure, so that no description can throw.

The case of the writer itself does not compile without the change of its interface.

--- a/src/jsonlines/message.cpp
+++ b/src/jsonlines/message.cpp
@@ -11,8 +11,14 @@
 
 using Json = nlohmann::json;
 
-// Returns the text as a JSON string literal. The text is valid UTF-8, since the parser rejects anything else.
-std::string json_string(std::string_view text) { return Json(text).dump(); }
+// Returns the text as a JSON string literal, or nothing when it is not UTF-8.
+std::optional<std::string> json_string(std::string_view text) {
+  try {
+    return Json(text).dump();
+  } catch (const Json::type_error &) {
+    return std::nullopt;
+  }
+}
 
 // Returns the start of a message, up to and including the brace that opens its options.
 std::string message_prefix(const char *verb, std::uint64_t tag) {
@@ -65,8 +71,10 @@
   return out;
 }
 
-std::string write_started(std::uint64_t tag, std::string_view description) {
-  return message_prefix("STARTED", tag) + R"(},"blob":)" + json_string(description) + "}\n";
+std::optional<std::string> write_started(std::uint64_t tag, std::string_view description) {
+  auto blob = json_string(description);
+  if (!blob) return std::nullopt;
+  return message_prefix("STARTED", tag) + R"(},"blob":)" + *blob + "}\n";
 }
 
 std::string write_finish(std::uint64_t tag, int cause, std::optional<std::uint64_t> wait_ms) {
--- a/src/jsonlines/message.h
+++ b/src/jsonlines/message.h
@@ -41,8 +41,9 @@
 // Parses a line without its line end. On failure returns nothing and fills in `error`.
 std::optional<Message> parse_message(std::string_view line, ParseError &error);
 
-// Each of these returns one line including its line end. Options are non-negative numbers.
-std::string write_started(std::uint64_t tag, std::string_view description);
+// Each of these returns one line including its line end. Options are non-negative numbers. write_started()
+// returns nothing when the description is not UTF-8, since no line can carry it unchanged.
+std::optional<std::string> write_started(std::uint64_t tag, std::string_view description);
 std::string write_finish(std::uint64_t tag, int cause, std::optional<std::uint64_t> wait_ms = std::nullopt);
 std::string write_finished(std::uint64_t tag);
 std::string write_echoed(std::uint64_t tag, bool passed);
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -261,7 +261,8 @@
 
 void ViewerGateway::send_set_up_result(int play, const edge::SetUpResult &result) {
   server_->mark_trusted(pending_play(play).connection);
-  send_answer(play, jsonlines::write_started(tag(play), result.description));
+  auto started = jsonlines::write_started(tag(play), result.description);
+  send_answer(play, started ? std::move(*started) : jsonlines::write_finish(tag(play), kCauseFailed));
   // This connection may be the first trusted one since the lines were deferred.
   send_deferred_lines();
 }
--- a/src/rtsp/message.cpp
+++ b/src/rtsp/message.cpp
@@ -1,6 +1,8 @@
 // Parsing and writing of RTSP messages.
 #include "rtsp/message.h"
 
+#include <tao/pegtl.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -19,6 +21,13 @@
 bool is_method_char(char c) { return (c >= 'A' && c <= 'Z') || c == '_'; }
 bool is_visible_char(char c) { return c > ' ' && c < 127; }
 
+// Returns whether the text is UTF-8 without overlong encodings and surrogates.
+bool is_utf8(std::string_view text) {
+  namespace p = tao::pegtl;
+  p::memory_input input(text.data(), text.size(), "");
+  return p::parse<p::seq<p::star<p::utf8::any>, p::eof>>(input);
+}
+
 // Removes the first line from `text` and returns it without its line end, or returns nothing when there is no
 // CR LF. A lone CR or LF does not end a line.
 std::optional<std::string_view> take_line(std::string_view &text) {
@@ -89,6 +98,7 @@
     if (!std::ranges::all_of(message.uri, is_visible_char))
       return fail("invalid character in the request URI");
   }
+  if (!is_utf8(text.substr(0, head_size))) return fail("the message head is not UTF-8");
   std::optional<std::size_t> length;
   while (!rest.empty()) {
     std::string_view line = *take_line(rest);
@@ -116,6 +126,7 @@
   if (total > kMaxMessageBytes) return fail("the message exceeds the size limit");
   if (text.size() < total) return 0;
   message.body = text.substr(head_size + 4, *length);
+  if (!is_utf8(message.body)) return fail("the message body is not UTF-8");
   return total;
 }
 
--- a/src/rtsp/message.h
+++ b/src/rtsp/message.h
@@ -1,6 +1,7 @@
-// RTSP/1.0 messages in the form of RFC 2326 that the platform's servers use; each message carries exactly one
-// Content-Length. Messages are plain values; this module uses no sockets. The reader accepts bytes in pieces
-// of any size, bounds the size of a message and stops for good at the first syntax error.
+// RTSP/1.0 messages in the form of RFC 2326 that the platform's servers use: UTF-8 text, in which each
+// message carries exactly one Content-Length. Messages are plain values; this module uses no sockets. The
+// reader accepts bytes in pieces of any size, bounds the size of a message and stops for good at the first
+// syntax error.
 #pragma once
 #include <cstdint>
 #include <optional>
--- a/tests/jsonlines/test_jsonlines.cpp
+++ b/tests/jsonlines/test_jsonlines.cpp
@@ -68,18 +68,48 @@
 }
 
 TEST_CASE("a message to a viewer is a single line, even when its description has line ends") {
-  for (const std::string &line : {jsonlines::write_started(0x9b1f, "a\r\n\"b\"\n"),
+  for (const std::string &line : {jsonlines::write_started(0x9b1f, "a\r\n\"b\"\n").value(),
                                   jsonlines::write_finish(1, 34, 250), jsonlines::write_move(2)}) {
     CHECK(line.find('\n') == line.size() - 1);
     jsonlines::ParseError error;
     CHECK(jsonlines::parse_message(std::string_view(line).substr(0, line.size() - 1), error));
   }
   jsonlines::ParseError error;
-  std::string line = jsonlines::write_started(0x9b1f, "a\r\n\"b\"\n");
+  std::string line = jsonlines::write_started(0x9b1f, "a\r\n\"b\"\n").value();
   CHECK(jsonlines::parse_message(std::string_view(line).substr(0, line.size() - 1), error)->description ==
         "a\r\n\"b\"\n");
 }
 
+// Guards against an exception in the event loop, which ends the process.
+TEST_CASE("a description that no JSON line can carry is rejected when it is written") {
+  struct Row {
+    const char *name;
+    std::string description;
+    bool can_be_written;
+  };
+  const Row rows[] = {
+      {"ASCII", "v=0\r\n", true},
+      {"empty", "", true},
+      {"beyond ASCII", "s=gr\xc3\xbcn \xe2\x82\xac \xf0\x9f\x8e\xac\r\n", true},
+      {"control characters", std::string("a\0\x01\x7f", 4), true},
+      {"not UTF-8", "a\xff", false},
+      {"an overlong encoding", "a\xc0\xaf", false},
+      {"a surrogate", "a\xed\xa0\x80", false},
+      {"beyond Unicode", "a\xf4\x90\x80\x80", false},
+      {"a character that is cut off", "a\xe2\x82", false},
+  };
+  for (const Row &row : rows) {
+    CAPTURE(row.name);
+    auto line = jsonlines::write_started(0x9b1f, row.description);
+    CHECK(line.has_value() == row.can_be_written);
+    if (!line) continue;
+    jsonlines::ParseError error;
+    auto message = jsonlines::parse_message(std::string_view(*line).substr(0, line->size() - 1), error);
+    REQUIRE(message);
+    CHECK(message->description == row.description);
+  }
+}
+
 namespace {
 
 struct LineServer {
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -86,6 +86,7 @@
     if (behavior == "broken") send(answer(session, 504));
     if (behavior == "release") send(request(session, "TEARDOWN", {{"Reason", "cause=41"}}));
     if (behavior == "noise") send("\x01noise\r\n\r\n");
+    if (behavior == "noisy-description") send(answer(session, 200, "of \xe4\xff\x1f" + session));
     if (behavior == "short") send(answer(session, 200, "of " + session).substr(0, 70));
     if (behavior == "close") connection.socket.close();
     if (behavior == "twice")
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -35,14 +35,16 @@
     bool plays;
     std::size_t set_ups;
   };
-  for (Row row :
-       {Row{"safe", "full", true, 2}, Row{"safe", "error", true, 2}, Row{"safe", "moot", true, 2},
-        Row{"safe", "broken", true, 2}, Row{"safe", "release", true, 2}, Row{"safe", "noise", true, 2},
-        Row{"safe", "short", true, 2}, Row{"safe", "close", true, 2}, Row{"safe", "silent", true, 2},
-        Row{"safe", "cross", true, 2}, Row{"safe", "twice", true, 1}, Row{"unsafe", "full", true, 2},
-        Row{"unsafe", "moot", true, 2}, Row{"unsafe", "error", false, 1}, Row{"unsafe", "broken", false, 1},
-        Row{"unsafe", "noise", false, 1}, Row{"unsafe", "close", false, 1},
-        Row{"unsafe", "silent", false, 1}}) {
+  for (Row row : {Row{"safe", "full", true, 2},      Row{"safe", "error", true, 2},
+                  Row{"safe", "moot", true, 2},      Row{"safe", "broken", true, 2},
+                  Row{"safe", "release", true, 2},   Row{"safe", "noise", true, 2},
+                  Row{"safe", "short", true, 2},     Row{"safe", "close", true, 2},
+                  Row{"safe", "silent", true, 2},    Row{"safe", "cross", true, 2},
+                  Row{"safe", "twice", true, 1},     Row{"safe", "noisy-description", true, 2},
+                  Row{"unsafe", "full", true, 2},    Row{"unsafe", "moot", true, 2},
+                  Row{"unsafe", "error", false, 1},  Row{"unsafe", "broken", false, 1},
+                  Row{"unsafe", "noise", false, 1},  Row{"unsafe", "close", false, 1},
+                  Row{"unsafe", "silent", false, 1}, Row{"unsafe", "noisy-description", false, 1}}) {
     CAPTURE(row.effect, row.behavior);
     PlatformScene scene(2, row.effect);
     for (auto &server : scene.servers) server->behavior = row.behavior;
@@ -67,6 +69,26 @@
   }
 }
 
+// Guards against the end of the process, with every request that it holds, when one server's description has
+// bytes that no JSON line can carry.
+TEST_CASE("platform: noise in one server's description does not end the process or other requests") {
+  PlatformScene scene(2);
+  scene.servers[0]->behavior = "noisy-description";
+  RawClient &viewer = scene.connect_viewer();
+  std::vector<std::string> tags;
+  for (int i = 0; i < 8; ++i) {
+    tags.push_back(scene.next_tag());
+    viewer.send(PlatformScene::start_line(tags.back()));
+  }
+  auto is_answered = [&](const std::string &tag) {
+    return PlatformScene::has_received(viewer, "STARTED", tag) ||
+           PlatformScene::has_received(viewer, "FINISH", tag);
+  };
+  CHECK(scene.until([&] { return std::ranges::all_of(tags, is_answered); }, 2));
+  CHECK_FALSE(scene.servers[0]->set_ups.empty());
+  CHECK_FALSE(viewer.closed);
+}
+
 TEST_CASE("platform: a refused connection or the reset of an idle one does not fail a set-up, which goes "
           "elsewhere") {
   PlatformScene scene(2);
--- a/tests/rtsp/test_rtsp.cpp
+++ b/tests/rtsp/test_rtsp.cpp
@@ -64,6 +64,15 @@
       {"a body over the size limit", answer(std::string(16384, 'x')), false, {}},
       {"a status that is not a number", "RTSP/1.0 9OO OK\r\nContent-Length: 0\r\n\r\n", false, {}},
       {"a header without a name", "RTSP/1.0 200 OK\r\n: x\r\nContent-Length: 0\r\n\r\n", false, {}},
+      {"a body beyond ASCII", answer("s=gr\xc3\xbcn\r\n"), true, {"200 s=gr\xc3\xbcn\r\n"}},
+      {"a body that is not UTF-8", answer("v=0\r\n\xe4\xff\r\n"), false, {}},
+      {"a body with an overlong encoding", answer("v=\xc0\xaf\r\n"), false, {}},
+      {"a body with a surrogate", answer("v=\xed\xa0\x80\r\n"), false, {}},
+      {"a body that ends inside a character", answer("v=\xc3"), false, {}},
+      {"a header value that is not UTF-8",
+       "RTSP/1.0 200 OK\r\nX: a\xff\r\nContent-Length: 0\r\n\r\n",
+       false,
+       {}},
       {"control characters", "RTSP/1.0 200 OK\r\nX: a\x01\r\nContent-Length: 0\r\n\r\n", false, {}},
   };
   for (const Row &row : rows) {
