A description too long for a viewer's line releases its session, not sent as it is

Cause: a line end takes one byte in an RTSP body and two in a JSON line, so that a description within one limit may be over the other. Nothing checked the line.

Change: write_started() returns nothing for a line over the limit; the gateway releases such a session at its server with cause 41 and ends the set-up as `error`, since it has run. Counted as descriptions_rejected in the summary.

--- a/src/jsonlines/message.cpp
+++ b/src/jsonlines/message.cpp
@@ -74,9 +74,13 @@
 std::optional<std::string> write_started(std::uint64_t tag, std::string_view description) {
   auto blob = json_string(description);
   if (!blob) return std::nullopt;
-  return message_prefix("STARTED", tag) + R"(},"blob":)" + *blob + "}\n";
+  std::string line = message_prefix("STARTED", tag) + R"(},"blob":)" + *blob + "}";
+  if (line.size() > kMaxLineBytes) return std::nullopt;
+  return line + "\n";
 }
 
+bool can_carry_description(std::string_view description) { return write_started(0, description).has_value(); }
+
 std::string write_finish(std::uint64_t tag, int cause, std::optional<std::uint64_t> wait_ms) {
   std::string out = message_prefix("FINISH", tag);
   if (wait_ms) out += R"("wait":")" + std::to_string(*wait_ms) + '"';
--- a/src/jsonlines/message.h
+++ b/src/jsonlines/message.h
@@ -42,8 +42,10 @@
 std::optional<Message> parse_message(std::string_view line, ParseError &error);
 
 // Each of these returns one line including its line end. Options are non-negative numbers. write_started()
-// returns nothing when the description is not UTF-8, since no line can carry it unchanged.
+// returns nothing when no line can carry the description unchanged: it is not UTF-8, or the line would exceed
+// kMaxLineBytes.
 std::optional<std::string> write_started(std::uint64_t tag, std::string_view description);
+bool can_carry_description(std::string_view description);
 std::string write_finish(std::uint64_t tag, int cause, std::optional<std::uint64_t> wait_ms = std::nullopt);
 std::string write_finished(std::uint64_t tag);
 std::string write_echoed(std::uint64_t tag, bool passed);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -194,6 +194,7 @@
                  {"ended_left", server_counts.ended_left},
                  {"notes", server_counts.feedback_messages},
                  {"malformed", server_counts.malformed},
+                 {"descriptions_rejected", server_counts.descriptions_rejected},
                  {"lost_silent", server_counts.lost_silent},
                  {"lost_restarted", server_counts.lost_restarted},
                  {"lost_gone", server_counts.lost_gone},
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -293,6 +293,12 @@
                                      const rtsp::Message *message, double duration) {
   SetUpOutcome ended = set_up_outcome(end, message);
   ServerSlot &slot = *server_slot(server);
+  if (ended.started && !jsonlines::can_carry_description(message->body)) {
+    // The session runs, but its viewer cannot be told of it.
+    ++counters_.descriptions_rejected;
+    slot.peer->release(session, kCauseFailed);
+    ended = {Outcome::error};
+  }
   if (ended.started) slot.liveness.session_message_received(core_->clock().now(), core_->clock().now());
   ++(ended.started ? slot.started : ended.outcome == Outcome::busy ? slot.refused : slot.failed);
   ++counters_.outcomes[static_cast<std::size_t>(ended.outcome)];
--- a/src/platform/rtsp_server_gateway.h
+++ b/src/platform/rtsp_server_gateway.h
@@ -18,10 +18,11 @@
 class RtspServerGateway final : public edge::ServerGateway {
  public:
   struct Counters {
-    // servers_scanned counts the servers that loops over many servers have looked at.
+    // servers_scanned counts the servers that loops over many servers have looked at; descriptions_rejected
+    // the answers whose description a viewer's line cannot carry.
     std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, feedback_messages = 0, malformed = 0,
                   unknown_sessions = 0, early_releases = 0, lost_silent = 0, lost_restarted = 0,
-                  lost_gone = 0, closed_for_budget = 0, servers_scanned = 0;
+                  lost_gone = 0, closed_for_budget = 0, servers_scanned = 0, descriptions_rejected = 0;
     // Results of set-ups, by Outcome.
     std::array<std::uint64_t, 8> outcomes{};
     // Ends of connections, by rtsp::EndReason.
--- a/tests/jsonlines/test_jsonlines.cpp
+++ b/tests/jsonlines/test_jsonlines.cpp
@@ -97,6 +97,9 @@
       {"a surrogate", "a\xed\xa0\x80", false},
       {"beyond Unicode", "a\xf4\x90\x80\x80", false},
       {"a character that is cut off", "a\xe2\x82", false},
+      {"as long as a line may be", std::string(jsonlines::kMaxLineBytes - 63, 'x'), true},
+      {"longer than a line may be", std::string(jsonlines::kMaxLineBytes - 62, 'x'), false},
+      {"longer than a line may be for its line ends", std::string(jsonlines::kMaxLineBytes / 2, '\n'), false},
   };
   for (const Row &row : rows) {
     CAPTURE(row.name);
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -87,6 +87,8 @@
     if (behavior == "release") send(request(session, "TEARDOWN", {{"Reason", "cause=41"}}));
     if (behavior == "noise") send("\x01noise\r\n\r\n");
     if (behavior == "noisy-description") send(answer(session, 200, "of \xe4\xff\x1f" + session));
+    // Fits an RTSP message, but not a viewer's line, where each line end takes two bytes.
+    if (behavior == "line-ends") send(answer(session, 200, "of " + session + std::string(9000, '\n')));
     if (behavior == "short") send(answer(session, 200, "of " + session).substr(0, 70));
     if (behavior == "close") connection.socket.close();
     if (behavior == "twice")
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -35,16 +35,17 @@
     bool plays;
     std::size_t set_ups;
   };
-  for (Row row : {Row{"safe", "full", true, 2},      Row{"safe", "error", true, 2},
-                  Row{"safe", "moot", true, 2},      Row{"safe", "broken", true, 2},
-                  Row{"safe", "release", true, 2},   Row{"safe", "noise", true, 2},
-                  Row{"safe", "short", true, 2},     Row{"safe", "close", true, 2},
-                  Row{"safe", "silent", true, 2},    Row{"safe", "cross", true, 2},
-                  Row{"safe", "twice", true, 1},     Row{"safe", "noisy-description", true, 2},
-                  Row{"unsafe", "full", true, 2},    Row{"unsafe", "moot", true, 2},
-                  Row{"unsafe", "error", false, 1},  Row{"unsafe", "broken", false, 1},
-                  Row{"unsafe", "noise", false, 1},  Row{"unsafe", "close", false, 1},
-                  Row{"unsafe", "silent", false, 1}, Row{"unsafe", "noisy-description", false, 1}}) {
+  for (Row row : {Row{"safe", "full", true, 2},        Row{"safe", "error", true, 2},
+                  Row{"safe", "moot", true, 2},        Row{"safe", "broken", true, 2},
+                  Row{"safe", "release", true, 2},     Row{"safe", "noise", true, 2},
+                  Row{"safe", "short", true, 2},       Row{"safe", "close", true, 2},
+                  Row{"safe", "silent", true, 2},      Row{"safe", "cross", true, 2},
+                  Row{"safe", "twice", true, 1},       Row{"safe", "noisy-description", true, 2},
+                  Row{"unsafe", "full", true, 2},      Row{"unsafe", "moot", true, 2},
+                  Row{"unsafe", "error", false, 1},    Row{"unsafe", "broken", false, 1},
+                  Row{"unsafe", "noise", false, 1},    Row{"unsafe", "close", false, 1},
+                  Row{"unsafe", "silent", false, 1},   Row{"unsafe", "noisy-description", false, 1},
+                  Row{"unsafe", "line-ends", false, 1}}) {
     CAPTURE(row.effect, row.behavior);
     PlatformScene scene(2, row.effect);
     for (auto &server : scene.servers) server->behavior = row.behavior;
@@ -66,6 +67,8 @@
     if (std::string(row.behavior) == "silent" || std::string(row.behavior) == "cross")
       CHECK(first.released.size() >=
             (row.behavior[0] == 'c' ? 2u : 1u)); // cancelled; the play of a late 200 is released as well
+    // The play runs on its server, and no viewer is told of it.
+    if (std::string(row.behavior) == "line-ends") CHECK(first.released == std::vector{tag});
   }
 }
 
