A connection that makes room is half-closed first, so that a release that crosses it arrives

Cause: Peer::close_oldest_idle() closed the socket, which discards what is on its way.

Change: only the sending side is closed; what the server has sent before it learns of it is received for 50 ms, the protocol's allowance for messages that cross a close. Scarce connections in the tests are set up in one place.

Test: "many servers: a connection that makes room goes while a server's release is on its way" failed before and passes after.

--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -24,6 +24,7 @@
 add_test(NAME many-servers.removed COMMAND snowshore_many_servers_tests "many servers: a removed*")
 add_test(NAME many-servers.unread COMMAND snowshore_many_servers_tests "many servers: a connection goes*")
 add_test(NAME many-servers.connections COMMAND snowshore_many_servers_tests "many servers: more of them*")
+add_test(NAME many-servers.crossing COMMAND snowshore_many_servers_tests "many servers: a connection that makes room*")
 target_include_directories(snowshore_platform_tests PRIVATE tests)
 target_link_libraries(snowshore_platform_tests PRIVATE snowshore_platform Catch2::Catch2)
 add_test(NAME snowshore_platform_tests COMMAND snowshore_platform_tests ~[slow])
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -18,6 +18,8 @@
 struct ResourceLimits {
   // Descriptors for the process itself, for connections of viewers and for connections to servers.
   std::size_t own_descriptors = 0, viewer_descriptors = 0, server_descriptors = 0;
+  // The part of own_descriptors for connections to servers that are half-closed.
+  std::size_t half_closed_descriptors = 0;
   // Bytes of session descriptions of plays without an answer.
   std::size_t max_description_bytes = 0;
   // Bytes written and not yet sent, on one connection.
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -42,6 +42,7 @@
   liveness_settings_.message_interval = config_.feedback_interval;
   limits_.set_ups_per_connection = config_.set_ups_per_connection;
   limits_.unsent_bytes = config_.resource_limits.max_unsent_server_bytes;
+  limits_.half_closed = config_.resource_limits.half_closed_descriptors;
   share_descriptors();
 }
 
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -39,6 +39,9 @@
 constexpr const char *kSessionUri = "rtsp://media/session";
 // The protocol's cause for an end that is not a fault.
 constexpr int kCauseEnded = 16;
+// Seconds that a half-closed connection waits for the server to close its side: the protocol's allowance for
+// messages that cross a close.
+constexpr double kHalfClosedLifetime = 0.05;
 // Seconds. A release whose connection ends within this time after it was written may not have been received.
 constexpr double kDeliveryUncertain = 1;
 // Seconds. The protocol's bound on how late a release may be sent.
@@ -49,7 +52,8 @@
 
 struct Peer::Connection {
   asio::ip::tcp::socket socket;
-  // settle_timer delivers a message that arrived in pieces.
+  // connect_timer: ends the wait for the connection to be established, or for the end of a half-closed one.
+  // settle_timer: delivers a message that arrived in pieces.
   asio::steady_timer connect_timer, settle_timer;
   State state = State::connecting;
   MessageReader reader;
@@ -68,6 +72,7 @@
   double opened_at = 0, used_at = 0, received_at = 0, partial_since = -1, retired_at = 0;
   std::array<char, 4096> buffer;
   explicit Connection(asio::io_context &io) : socket(io), connect_timer(io), settle_timer(io) {}
+  bool is_receiving() const { return state == State::open || state == State::half_closed; }
   bool has_unread_data() {
     asio::error_code failed;
     return socket.available(failed) > 0;
@@ -84,13 +89,9 @@
 void Peer::shut_down() {
   alive_.reset();
   counters_.connections -= connections_.size();
-  for (auto &connection : connections_) {
-    set_state(*connection, State::closed);
-    asio::error_code ignored;
-    connection->socket.close(ignored);
-    connection->connect_timer.cancel();
-    connection->settle_timer.cancel();
-  }
+  counters_.half_closed -= half_closed_.size();
+  connections_.splice(connections_.end(), half_closed_);
+  for (auto &connection : connections_) close_socket(*connection);
   connections_.clear();
   pending_set_ups_.clear();
 }
@@ -105,6 +106,14 @@
 
 void Peer::set_state(Connection &connection, State next) { connection.state = next; }
 
+void Peer::close_socket(Connection &connection) {
+  set_state(connection, State::closed);
+  connection.connect_timer.cancel();
+  connection.settle_timer.cancel();
+  asio::error_code ignored;
+  connection.socket.close(ignored);
+}
+
 std::size_t Peer::open_connections() const {
   return static_cast<std::size_t>(std::ranges::count_if(
       connections_, [](const auto &connection) { return connection->state == State::open; }));
@@ -172,6 +181,7 @@
 }
 
 void Peer::send(const std::shared_ptr<Connection> &connection, std::uint64_t session, std::string text) {
+  if (connection->state == State::half_closed) return;
   connection->used_at = steady_seconds();
   connection->unsent += text.size();
   connection->waiting.emplace_back(session, std::move(text));
@@ -201,7 +211,7 @@
   connection->socket.async_read_some(
       asio::buffer(connection->buffer),
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t size) {
-        if (alive.expired() || connection->state != State::open) return;
+        if (alive.expired() || !connection->is_receiving()) return;
         if (error) {
           // Nothing can follow what was read.
           deliver_last(connection);
@@ -209,7 +219,7 @@
           return close(connection, error == asio::error::eof ? EndReason::closed : EndReason::reset);
         }
         handle_input(connection, std::string_view(connection->buffer.data(), size));
-        if (!alive.expired() && connection->state == State::open) read(connection);
+        if (!alive.expired() && connection->is_receiving()) read(connection);
       });
 }
 
@@ -221,9 +231,9 @@
                                              connection->reader.ends_with_message());
   events_.on_data();
   bool readable = connection->reader.feed(bytes, [&](const Message &message) {
-    if (!alive.expired() && connection->state == State::open) handle_message(connection, message);
+    if (!alive.expired() && connection->is_receiving()) handle_message(connection, message);
   });
-  if (alive.expired() || connection->state != State::open) return;
+  if (alive.expired() || !connection->is_receiving()) return;
   if (!readable) return close(connection, EndReason::unreadable);
   if (!connection->reader.has_partial_message())
     connection->partial_since = -1;
@@ -460,7 +470,37 @@
 }
 
 void Peer::close_oldest_idle() {
-  if (auto connection = oldest_idle()) close(connection, EndReason::no_capacity);
+  auto connection = oldest_idle();
+  if (!connection) return;
+  if (counters_.half_closed < limits_.half_closed)
+    half_close(connection);
+  else
+    close(connection, EndReason::no_capacity);
+}
+
+// A release that crosses the close is received; with the socket closed, the system would discard it.
+void Peer::half_close(const std::shared_ptr<Connection> &connection) {
+  set_state(*connection, State::half_closed);
+  connections_.remove(connection);
+  half_closed_.push_back(connection);
+  --counters_.connections, ++counters_.half_closed;
+  asio::error_code ignored;
+  connection->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+  connection->connect_timer.expires_after(to_timer_duration(kHalfClosedLifetime));
+  connection->connect_timer.async_wait(
+      [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+        if (error || alive.expired() || connection->state != State::half_closed) return;
+        deliver_last(connection);
+        if (!alive.expired()) finish_half_closed(connection);
+      });
+  events_.on_disconnected(EndReason::no_capacity, open_connections() == 0);
+}
+
+void Peer::finish_half_closed(const std::shared_ptr<Connection> &connection) {
+  if (connection->state != State::half_closed) return;
+  close_socket(*connection);
+  half_closed_.remove(connection);
+  --counters_.half_closed;
 }
 
 // Stops using the connection. maintain() closes it kRetiredLifetime seconds later, once its set-ups have
@@ -471,14 +511,11 @@
 }
 
 void Peer::close(const std::shared_ptr<Connection> &connection, EndReason reason) {
+  if (connection->state == State::half_closed) return finish_half_closed(connection);
   if (connection->state == State::closed) return;
-  set_state(*connection, State::closed);
+  close_socket(*connection);
   connections_.remove(connection);
   --counters_.connections;
-  connection->connect_timer.cancel();
-  connection->settle_timer.cancel();
-  asio::error_code ignored;
-  connection->socket.close(ignored);
   std::weak_ptr<bool> alive = alive_;
   auto set_ups = std::exchange(connection->set_ups, {});
   for (std::uint64_t session : set_ups) {
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -35,6 +35,8 @@
   std::size_t set_ups_per_connection = 32;
   // Unsent bytes that one connection may hold.
   std::size_t unsent_bytes = 64 * 1024;
+  // Half-closed connections, to all servers.
+  std::size_t half_closed = 4;
 };
 
 // How a set-up, a probe or a connection ended. connect_failed: the connection was not established, or a
@@ -78,6 +80,8 @@
   std::uint64_t maintenance_runs = 0;
   // Connections that are established or being established now, to all servers.
   std::size_t connections = 0;
+  // Connections of which only the receiving side is still open, to all servers.
+  std::size_t half_closed = 0;
 };
 
 class Peer {
@@ -127,12 +131,14 @@
   // Returns whether a release has not yet been written to an established connection.
   bool has_unwritten_releases() const;
   bool is_unused() const {
-    return connections_.empty() && pending_set_ups_.empty() && releases_.empty() && !probe_session_;
+    return connections_.empty() && half_closed_.empty() && pending_set_ups_.empty() && releases_.empty() &&
+           !probe_session_;
   }
   // Returns the steady-clock time at which the oldest idle connection was established, or nothing when no
   // established connection is free of set-ups.
   std::optional<double> oldest_idle_since() const;
-  // Closes that connection and reports its end as no_capacity.
+  // Closes that connection and reports its end as no_capacity. What the server has sent before it learns of
+  // the close is still received, on a descriptor of Limits::half_closed where one is free.
   void close_oldest_idle();
   // Closes every connection and reports the end of each connection and set-up.
   void close_all();
@@ -156,8 +162,10 @@
     // The connection that carried it; expired when it has to be sent.
     std::weak_ptr<Connection> connection;
   };
-  enum class State { connecting, open, closed };
+  // half_closed: nothing is sent any more; what the server has sent is still received.
+  enum class State { connecting, open, half_closed, closed };
   void set_state(Connection &connection, State next);
+  void close_socket(Connection &connection);
   std::shared_ptr<Connection> choose_connection(bool for_set_up);
   // Considers established connections only.
   std::shared_ptr<Connection> oldest_idle() const;
@@ -170,6 +178,9 @@
   void deliver_last(const std::shared_ptr<Connection> &connection);
   void handle_message(const std::shared_ptr<Connection> &connection, const Message &message);
   void close(const std::shared_ptr<Connection> &connection, EndReason reason);
+  // Starts the wait for the server's end of a connection that was removed from connections_.
+  void half_close(const std::shared_ptr<Connection> &connection);
+  void finish_half_closed(const std::shared_ptr<Connection> &connection);
   void finish_set_up(std::uint64_t session, EndReason reason, const Message *message);
   void retire(const std::shared_ptr<Connection> &connection);
   void send_releases();
@@ -181,7 +192,7 @@
   PeerCounters &counters_;
   std::uint64_t next_probe_session_;
   Events events_;
-  std::list<std::shared_ptr<Connection>> connections_;
+  std::list<std::shared_ptr<Connection>> connections_, half_closed_;
   std::unordered_map<std::uint64_t, PendingSetUp> pending_set_ups_;
   std::uint64_t set_up_count_ = 0;
   std::deque<Release> releases_;
--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -148,35 +148,76 @@
   CHECK_FALSE(PlatformScene::has_received(viewer, "FINISH", first));
 }
 
-TEST_CASE("many servers: a connection goes to make room for another while a server's release is unread on it",
-          "[many]") {
-  constexpr int kServers = 12;
-  constexpr unsigned kSockets = 32;
-  PlatformScene scene(kServers, "safe", [&](nlohmann::json &config) {
-    config["limits"]["sockets"] = kSockets;
-    config["settings"]["family_info"]["cells"] = kServers;
-    int cell = 0;
-    for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"]) target["pod_group"] = cell++;
-  });
+namespace {
+
+// A front end whose descriptors are all in use by connections to servers, one to each, with one play on each.
+// The next play needs the descriptor of the oldest connection, which goes to the first server.
+struct ScarceScene : PlatformScene {
+  static constexpr int kServers = 12;
+  static constexpr unsigned kSockets = 32;
+  RawClient &viewer;
   std::size_t max_connections = platform::compute_resource_limits(kSockets, 48).server_descriptors;
-  RawClient &viewer = scene.connect_viewer();
-  auto start_at_cell = [&](std::size_t cell) {
-    std::string tag = scene.next_tag(), line = PlatformScene::start_line(tag);
+  // The play on the first server.
+  std::string first;
+
+  ScarceScene()
+      : PlatformScene(kServers, "safe",
+                      [](nlohmann::json &settings) {
+                        settings["limits"]["sockets"] = kSockets;
+                        settings["settings"]["family_info"]["cells"] = kServers;
+                        int cell = 0;
+                        for (auto &target : settings["known"]["cmds"][0]["nodes"]["targets"])
+                          target["pod_group"] = cell++;
+                      }),
+        viewer(connect_viewer()) {
+    for (std::size_t s = 0; s < max_connections; ++s) {
+      std::string tag = start_at_cell(s);
+      if (s == 0) first = tag;
+      if (!until([&] { return has_received(viewer, "STARTED", tag); }, 1.5))
+        throw std::runtime_error("the play does not start");
+    }
+    run(0.4);
+  }
+  std::string start_at_cell(std::size_t cell) {
+    std::string tag = next_tag(), line = start_line(tag);
     line.replace(line.find("home:0"), 6, "home:" + std::to_string(cell));
     viewer.send(line);
     return tag;
-  };
-  std::string first;
-  for (std::size_t s = 0; s < max_connections; ++s) {
-    std::string tag = start_at_cell(s);
-    if (s == 0) first = tag;
-    REQUIRE(scene.until([&] { return PlatformScene::has_received(viewer, "STARTED", tag); }, 1.5));
   }
-  scene.run(0.4);
-  // This play needs the place of the oldest connection, on which a release has just arrived.
-  std::string next = start_at_cell(max_connections);
-  RawServer::send(*scene.servers[0]->server.connections[0],
-                  ScriptedServer::request(first, "TEARDOWN", {{"Reason", "cause=16"}}));
-  CHECK(scene.until([&] { return PlatformScene::has_received(viewer, "STARTED", next); }, 1.5));
-  CHECK(scene.until([&] { return PlatformScene::has_received(viewer, "FINISH", first); }, 1));
+  std::string start_next() { return start_at_cell(max_connections); }
+  void release_first() {
+    RawServer::send(*servers[0]->server.connections[0],
+                    ScriptedServer::request(first, "TEARDOWN", {{"Reason", "cause=16"}}));
+  }
+  bool has_started(const std::string &tag) {
+    return until([&] { return has_received(viewer, "STARTED", tag); }, 1.5);
+  }
+  // The protocol's limit between a server's release and the viewer's line.
+  bool is_first_ended() {
+    return until([&] { return has_received(viewer, "FINISH", first); }, 1);
+  }
+};
+
+} // namespace
+
+TEST_CASE("many servers: a connection goes to make room for another while a server's release is unread on it",
+          "[many]") {
+  ScarceScene scene;
+  std::string next = scene.start_next();
+  scene.release_first();
+  CHECK(scene.has_started(next));
+  CHECK(scene.is_first_ended());
+}
+
+TEST_CASE("many servers: a connection that makes room goes while a server's release is on its way",
+          "[many]") {
+  ScarceScene scene;
+  std::string next = scene.start_next();
+  // The server sends its release before it knows that the connection is closed, and closes it then.
+  auto &connection = *scene.servers[0]->server.connections[0];
+  REQUIRE(scene.until([&] { return connection.closed; }, 1.5));
+  scene.release_first();
+  connection.socket.close();
+  CHECK(scene.has_started(next));
+  CHECK(scene.is_first_ended());
 }
