Sessions handed over after a restart end if their server started since they were set up

Cause: accept_handover() took the hand-over for the set-up, so that the server's start, told by the list, was older than the session and did not end it. A start told before the hand-over was not compared at all.

Sessions handed over within 2 s of the first passed test come from the earlier run and count as set up 2 s before this one started; a later start of their server ends them, whenever it is told. Later hand-overs are taken as before, since another front end may have set them up.

--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -1,5 +1,6 @@
 // The core: engine calls with their clock and timers, the life of a play, time limits and list updates.
 #include "edge/core.h"
+#include "decision/handover_age.h"
 #include "decision/setting_names.h"
 #include "decision/settings_reader.h"
 #include "settings/hex_id.h"
@@ -191,7 +192,8 @@
 }
 
 std::optional<PlayRef> Core::accept_handover(std::uint64_t id, const std::string &title,
-                                             const std::string &server, PlayRequest request) {
+                                             const std::string &server, PlayRequest request,
+                                             std::optional<double> first_test_at) {
   int server_index = servers_.find(server);
   if (server_index < 0) return std::nullopt;
   PlayRef ref = add_play(id, title);
@@ -199,14 +201,25 @@
   play.product = request.product;
   play.server = server_index;
   play.allocation = 0;
-  play.started_at = clock_.now();
+  play.started_at = latest_set_up_time(clock_.now(), started_at_, first_test_at);
   plays_.set_state(ref.index, PlayState::playing);
   request.title = play.title;
   call_engine([&] { engine_->play_handed_over(ref.index, server_index, request); });
   server_gateway_.play_handed_over(ref.index);
+  if (servers_.at(server_index).started_at > play.started_at) end_stale_handover(ref);
   return ref;
 }
 
+// The server has started since the play was set up. The end is posted, since the gateway has yet to learn of
+// the play.
+void Core::end_stale_handover(const PlayRef &ref) {
+  asio::post(io_, [this, ref, alive = std::weak_ptr<bool>(alive_)] {
+    if (alive.expired() || !is_current(ref)) return;
+    count_ended_play("server_lost");
+    play_ended(ref.index, Outcome::reset);
+  });
+}
+
 void Core::player_left(int index) {
   PlayRecord &play = plays_.at(index);
   if (play.state != PlayState::requested && play.state != PlayState::allocating) return;
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -104,9 +104,12 @@
   PlayRef add_play(std::uint64_t id, const std::string &title);
   // Passes the play to the engine. reading_time: seconds that the front end took to read the request.
   void submit_play(int play, PlayRequest request, double reading_time = 0);
-  // Adds a play that already runs on a listed server. Returns nothing where no list names the server.
+  // Adds a play that already runs on a listed server. Returns nothing where no list names the server. The
+  // play ends soon where its server has started since it can have been set up. first_test_at: when the first
+  // test of this run was passed.
   std::optional<PlayRef> accept_handover(std::uint64_t id, const std::string &title,
-                                         const std::string &server, PlayRequest request);
+                                         const std::string &server, PlayRequest request,
+                                         std::optional<double> first_test_at);
   // The player left before its play was answered.
   void player_left(int play);
   // The player ended its running play.
@@ -226,6 +229,7 @@
   void cancel_pending_set_ups();
   // Asks the guard right before the play's only answer is sent, and marks the play as answered.
   bool may_answer(int play);
+  void end_stale_handover(const PlayRef &ref);
   // Seconds for which a leaving server still accepts set-ups, from the settings.
   double drain_grace() const;
 
@@ -247,6 +251,8 @@
   CallDurations call_durations_;
   std::uint64_t list_version_ = 0;
   double list_at_ = 0, last_allocation_at_ = -1e9;
+  // When this run of the front end started.
+  const double started_at_ = clock_.read_now();
   // applying_: an update is in progress, and apply_updates() is posted.
   bool has_list_ = false, engine_has_list_ = false, applying_ = false;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
--- a/src/edge/play_table.h
+++ b/src/edge/play_table.h
@@ -54,6 +54,8 @@
   int allocation = -1;
   // Unique among all plays that this front end has held.
   std::uint64_t serial = 0;
+  // started_at: when the play started to run; for one that was handed over, the latest time at which it can
+  // have.
   double requested_at = 0, deadline = 0, started_at = 0;
   // Seconds that the front end itself has spent on the play, and when it last began to work on it.
   double processing_time = 0, processing_since = 0;
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -77,7 +77,9 @@
   if (verb == "FINISH") return handle_finish(from, *message);
   if (verb == "ECHO") {
     ++counters_.tests;
-    server_->send(from, jsonlines::write_echoed(message->tag, core_->has_list() && !draining_));
+    bool passed = core_->has_list() && !draining_;
+    if (passed && !first_test_at_) first_test_at_ = core_->clock().now();
+    server_->send(from, jsonlines::write_echoed(message->tag, passed));
     return send_deferred_lines();
   }
   if (verb == "FINISHED")
@@ -156,7 +158,8 @@
   const std::string &title = *message.find_option("key");
   if (!handover_server.empty()) {
     ++counters_.handed_over;
-    auto ref = core_->accept_handover(message.tag, title, std::string(handover_server), *request);
+    auto ref =
+        core_->accept_handover(message.tag, title, std::string(handover_server), *request, first_test_at_);
     // Its server is no longer on the list, so the play is over.
     if (!ref) {
       ++counters_.refused_bad;
--- a/src/platform/viewer_gateway.h
+++ b/src/platform/viewer_gateway.h
@@ -117,6 +117,8 @@
   std::deque<UnconfirmedEnd> unconfirmed_ends_;
   // Bytes of the descriptions in pending_plays_.
   std::size_t description_bytes_ = 0;
+  // When the first test of this run was passed.
+  std::optional<double> first_test_at_;
   Counters counters_;
   bool draining_ = false, stopped_accepting_ = false;
 };
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -280,6 +280,50 @@
   }
 }
 
+// Guards against plays that are held for good: their viewers were not told of their end, and hand them over
+// to the front end's next run. Times are relative to the start of that run.
+TEST_CASE("platform: a play is handed over although its server has started since it was set up") {
+  struct Row {
+    const char *name;
+    // When the server started, and whether the list tells of it after the hand-over.
+    double server_started;
+    bool told_later;
+    // Seconds between the first passed test and the hand-over.
+    double handed_over_after;
+    bool ends;
+  };
+  for (Row row : {Row{"server and front end came back together", -0.5, false, 0, true},
+                  Row{"the same, told later", -0.5, true, 0, true},
+                  Row{"the server started after the front end", 0.1, true, 0, true},
+                  Row{"the play may be younger than its server", -5, false, 0, false},
+                  Row{"the same, told later", -5, true, 0, false},
+                  Row{"from another front end, younger than this run", 0.1, false, 2.5, false}}) {
+    CAPTURE(row.name, row.told_later);
+    auto started_ms = static_cast<std::uint64_t>(
+        (std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() +
+         row.server_started) *
+        1000);
+    PlatformScene scene(1, "safe", [&](nlohmann::json &config) {
+      if (!row.told_later) config["known"]["cmds"][0]["nodes"]["targets"][0]["boot_ms"] = started_ms;
+    });
+    RawClient &viewer = scene.connect_viewer();
+    viewer.send(R"({"verb":"ECHO","tag":"0000000000000001","opts":{},"rc":0})"
+                "\n");
+    REQUIRE(scene.until([&] { return PlatformScene::has_received(viewer, "ECHOED", "0000000000000001"); }));
+    scene.run(row.handed_over_after);
+    std::string tag = scene.next_tag();
+    viewer.send(PlatformScene::start_line(tag, ";at:s-00000001", "7f3a9c21e0b4d655", "4294967"));
+    scene.run(0.05);
+    if (row.told_later) {
+      REQUIRE(scene.until([&] { return scene.channel.connections.size() == 1; }));
+      scene.send_on_channel(frame(2, 2, record(scene.record_of(1, *scene.servers[0], 0, started_ms))));
+    }
+    bool ended = scene.until([&] { return PlatformScene::has_received(viewer, "FINISH", tag); }, 1);
+    CHECK(ended == row.ends);
+    CHECK(scene.open_plays() == (row.ends ? 0u : 1u));
+  }
+}
+
 TEST_CASE("liveness: a server is judged by its connections and by the data on them") {
   using Verdict = platform::Liveness::Verdict;
   platform::LivenessSettings settings;
