--- a/src/platform/outcome_mapping.h
+++ b/src/platform/outcome_mapping.h
@@ -2,13 +2,15 @@
 #pragma once
 #include "decision/policy.h"
 #include "rtsp/peer.h"
+#include "settings/platform_protocol.h"
 
 namespace snowshore::platform {
 
-// Cause codes of the platform's protocol: the play ran to its end, continues on another server, was declined,
-// failed; the request was invalid.
-inline constexpr int kCauseEnded = 16, kCauseMoved = 31, kCauseDeclined = 34, kCauseFailed = 41,
-                     kCauseBadRequest = 100;
+using settings::kCauseBadRequest;
+using settings::kCauseDeclined;
+using settings::kCauseEnded;
+using settings::kCauseFailed;
+using settings::kCauseMoved;
 
 // The outcome of a set-up. started: the server's answer says that the play runs.
 struct SetUpOutcome {
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -17,8 +17,6 @@
 
 // Seconds. Two checks that are further apart than the threshold show that this process did not run meanwhile.
 constexpr double kCheckInterval = 0.1, kStallThreshold = 1;
-// The protocol's limit for reporting the end of a play.
-constexpr double kEarlyReleaseLifetime = 8;
 constexpr std::size_t kMaxEarlyReleases = 1024, kMaxConnectionsPerServer = 8;
 
 // Values of a note's X-Outcome header.
@@ -333,7 +331,7 @@
 
 void RtspServerGateway::play_handed_over(int play) {
   const PlayRecord &record = core_->plays().at(play);
-  double oldest_kept = core_->clock().now() - kEarlyReleaseLifetime;
+  double oldest_kept = core_->clock().now() - settings::kReleaseTimeLimit;
   while (!early_releases_.empty() && early_releases_.front().at < oldest_kept) early_releases_.pop_front();
   auto release = std::ranges::find_if(early_releases_, [&](const EarlyRelease &early) {
     return early.session == record.id && early.server == core_->server_id(record.server);
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// The protocol's limit for lines that could not be sent at once.
-constexpr double kDeferredLineLifetime = 8;
 constexpr std::size_t kMaxDeferredLines = 4096, kMaxUnconfirmedEnds = 256;
 // Where a connection ends within this time of a line's sending, in seconds, the viewer may not have received
 // the line.
@@ -312,7 +310,7 @@
   }
   ++counters_.announced_later;
   if (deferred_lines_.size() >= kMaxDeferredLines) deferred_lines_.pop_front();
-  deferred_lines_.push_back({std::move(line), now + kDeferredLineLifetime});
+  deferred_lines_.push_back({std::move(line), now + settings::kReleaseTimeLimit});
 }
 
 void ViewerGateway::send_deferred_lines() {
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -2,6 +2,7 @@
 #include "rtsp/peer.h"
 #include "rtsp/piece_pauses.h"
 #include "settings/hex_id.h"
+#include "settings/platform_protocol.h"
 #include "telemetry/loop_clock.h"
 
 #include <algorithm>
@@ -19,6 +20,7 @@
 constexpr double kRetiredLifetime = 1;
 
 using settings::format_hex16;
+using settings::kReleaseTimeLimit;
 
 std::optional<std::uint64_t> session_of(const Message &message) {
   auto text = message.find_header("Session");
@@ -37,15 +39,11 @@
 }
 
 constexpr const char *kSessionUri = "rtsp://media/session";
-// The protocol's cause for an end that is not a fault.
-constexpr int kCauseEnded = 16;
 // Seconds that a half-closed connection waits for the server to close its side: the protocol's allowance for
 // messages that cross a close.
 constexpr double kHalfClosedLifetime = 0.05;
 // Seconds. A release whose connection ends within this time after it was written may not have been received.
 constexpr double kDeliveryUncertain = 1;
-// Seconds. The protocol's bound on how late a release may be sent.
-constexpr double kReleaseDeadline = 8;
 constexpr std::size_t kMaxReleases = 1024;
 
 } // namespace
@@ -300,7 +298,7 @@
     return;
   }
   ++counters_.late;
-  release(*session, kCauseEnded);
+  release(*session, settings::kCauseEnded);
 }
 
 void Peer::finish_set_up(std::uint64_t session, EndReason reason, const Message *message) {
@@ -377,7 +375,7 @@
 void Peer::release(std::uint64_t session, int cause) {
   double now = steady_seconds();
   while (!releases_.empty() &&
-         (releases_.front().requested_at < now - kReleaseDeadline || releases_.size() >= kMaxReleases)) {
+         (releases_.front().requested_at < now - kReleaseTimeLimit || releases_.size() >= kMaxReleases)) {
     counters_.releases_dropped += releases_.front().connection.expired();
     releases_.pop_front();
   }
@@ -393,7 +391,7 @@
     auto connection = one.connection.lock();
     return (connection && connection->state == State::open && connection->sending.empty() &&
             connection->waiting.empty() && one.sent_at < now - kDeliveryUncertain) ||
-           one.requested_at < now - kReleaseDeadline;
+           one.requested_at < now - kReleaseTimeLimit;
   });
   for (std::size_t i = 0; i < releases_.size(); ++i) {
     auto before = releases_[i].connection.lock();
