Half-closed connections wait for the server's end, up to 0.5 s, on a third of the own descriptors

Change: the wait lasts until the server closes its side, 0.5 s at most; data that is unread when it ends is read first, since the process may not have run meanwhile; a third of the process's own descriptors may be used. made_room_at_once in the summary counts the closes beyond that.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -200,6 +200,7 @@
                  {"lost_gone", server_counts.lost_gone},
                  {"early_ends", server_counts.early_releases},
                  {"made_room", server_counts.closed_for_budget},
+                 {"made_room_at_once", peer_counts.half_closes_skipped},
                  {"recalled_unsent", peer_counts.recalled_unsent},
                  {"releases_again", peer_counts.releases_again},
                  {"releases_dropped", peer_counts.releases_dropped}}},
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -128,7 +128,7 @@
 ResourceLimits compute_resource_limits(std::size_t sockets, std::size_t memory_mb) {
   ResourceLimits out;
   out.own_descriptors = std::min<std::size_t>(24, sockets / 4);
-  out.half_closed_descriptors = out.own_descriptors / 6;
+  out.half_closed_descriptors = out.own_descriptors / 3;
   std::size_t rest = sockets - out.own_descriptors;
   out.server_descriptors = rest * 2 / 5;
   out.viewer_descriptors = rest - out.server_descriptors;
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -39,9 +39,9 @@
 }
 
 constexpr const char *kSessionUri = "rtsp://media/session";
-// Seconds that a half-closed connection waits for the server to close its side: the protocol's allowance for
-// messages that cross a close.
-constexpr double kHalfClosedLifetime = 0.05;
+// Seconds that a half-closed connection waits for the server to close its side, within the protocol's second
+// for passing on a release.
+constexpr double kHalfClosedLifetime = 0.5;
 // Seconds. A release whose connection ends within this time after it was written may not have been received.
 constexpr double kDeliveryUncertain = 1;
 constexpr std::size_t kMaxReleases = 1024;
@@ -470,10 +470,9 @@
 void Peer::close_oldest_idle() {
   auto connection = oldest_idle();
   if (!connection) return;
-  if (counters_.half_closed < limits_.half_closed)
-    half_close(connection);
-  else
-    close(connection, EndReason::no_capacity);
+  if (counters_.half_closed < limits_.half_closed) return half_close(connection);
+  ++counters_.half_closes_skipped;
+  close(connection, EndReason::no_capacity);
 }
 
 // A release that crosses the close is received; with the socket closed, the system would discard it.
@@ -484,14 +483,20 @@
   --counters_.connections, ++counters_.half_closed;
   asio::error_code ignored;
   connection->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+  wait_for_server_end(connection);
+  events_.on_disconnected(EndReason::no_capacity, open_connections() == 0);
+}
+
+void Peer::wait_for_server_end(const std::shared_ptr<Connection> &connection) {
   connection->connect_timer.expires_after(to_timer_duration(kHalfClosedLifetime));
   connection->connect_timer.async_wait(
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
         if (error || alive.expired() || connection->state != State::half_closed) return;
+        // Data that arrived in time is unread if this process did not run meanwhile.
+        if (connection->has_unread_data()) return wait_for_server_end(connection);
         deliver_last(connection);
         if (!alive.expired()) finish_half_closed(connection);
       });
-  events_.on_disconnected(EndReason::no_capacity, open_connections() == 0);
 }
 
 void Peer::finish_half_closed(const std::shared_ptr<Connection> &connection) {
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -82,6 +82,8 @@
   std::size_t connections = 0;
   // Connections of which only the receiving side is still open, to all servers.
   std::size_t half_closed = 0;
+  // Connections that were closed at once because Limits::half_closed was reached.
+  std::uint64_t half_closes_skipped = 0;
 };
 
 class Peer {
@@ -178,8 +180,8 @@
   void deliver_last(const std::shared_ptr<Connection> &connection);
   void handle_message(const std::shared_ptr<Connection> &connection, const Message &message);
   void close(const std::shared_ptr<Connection> &connection, EndReason reason);
-  // Starts the wait for the server's end of a connection that was removed from connections_.
   void half_close(const std::shared_ptr<Connection> &connection);
+  void wait_for_server_end(const std::shared_ptr<Connection> &connection);
   void finish_half_closed(const std::shared_ptr<Connection> &connection);
   void finish_set_up(std::uint64_t session, EndReason reason, const Message *message);
   void retire(const std::shared_ptr<Connection> &connection);
