Only connections to servers with sessions are half-closed when they make room

When the stand-ins' loop is late with its own end of connections (up to 0.4 s), the descriptors for half-closed ones run out, and then closes are made at once just when releases cross them most.

Cause: most connections that make room go to servers without sessions, which have no release to send; they took these descriptors too.

Change: those are closed at once, as before; the descriptors are for servers with sessions.

The platform's cases and those of many servers pass.

--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -187,7 +187,7 @@
   if (!server) return false;
   ++counters_.closed_for_budget;
   server_slot(*server)->set_aside_until = now + ConnectionBudget::kRevisitInterval;
-  server_slot(*server)->peer->close_oldest_idle();
+  server_slot(*server)->peer->close_oldest_idle(plays_at(*server) > 0);
   return true;
 }
 
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -467,11 +467,11 @@
   return connection ? std::optional(connection->opened_at) : std::nullopt;
 }
 
-void Peer::close_oldest_idle() {
+void Peer::close_oldest_idle(bool has_sessions) {
   auto connection = oldest_idle();
   if (!connection) return;
-  if (counters_.half_closed < limits_.half_closed) return half_close(connection);
-  ++counters_.half_closes_skipped;
+  if (has_sessions && counters_.half_closed < limits_.half_closed) return half_close(connection);
+  counters_.half_closes_skipped += has_sessions;
   close(connection, EndReason::no_capacity);
 }
 
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -139,9 +139,10 @@
   // Returns the steady-clock time at which the oldest idle connection was established, or nothing when no
   // established connection is free of set-ups.
   std::optional<double> oldest_idle_since() const;
-  // Closes that connection and reports its end as no_capacity. What the server has sent before it learns of
-  // the close is still received, on a descriptor of Limits::half_closed where one is free.
-  void close_oldest_idle();
+  // Closes that connection and reports its end as no_capacity. has_sessions: sessions run on the server,
+  // whose releases may be on their way. What the server sends before it learns of the close is then still
+  // received, on a descriptor of Limits::half_closed where one is free.
+  void close_oldest_idle(bool has_sessions);
   // Closes every connection and reports the end of each connection and set-up.
   void close_all();
   // Closes every connection. No event is raised afterwards.
