Soak: spoilt answers with noise in the description and with lengths that do not fit

Three kinds more: noise that is not UTF-8, a length that is too short where the rest begins like a request, and one that is too long. Each spoilt answer takes one draw as before; the kinds drawn by a seed differ.

--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -69,6 +69,11 @@
                    --out ${CMAKE_BINARY_DIR}/soak/${seed})
   set_tests_properties(soak.seed.${seed} PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
 endforeach()
+# Answers with noise and with wrong lengths, on connections that pass on single bytes.
+add_test(NAME soak.spoilt-answers
+         COMMAND snowshore-lab soak --seed 7 --front-ends 4 --servers 20 --core-share 1 --lasts 14 --rate 40
+                 --only spoilt_answers single_bytes --out ${CMAKE_BINARY_DIR}/soak/spoilt-answers)
+set_tests_properties(soak.spoilt-answers PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
 # A front end that is broken on purpose is found.
 add_test(NAME soak.finds-lost COMMAND snowshore-lab soak --seed 21 --front-ends 2 --servers 20 --lasts 4 --no-faults --break lost
                                       --out ${CMAKE_BINARY_DIR}/soak/lost)
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -25,6 +25,36 @@
                                         .count());
 }
 
+// Kinds of answers that corrupt_answer() makes.
+constexpr int kCorruptKinds = 7;
+
+// A good answer to the session's set-up that arrives spoilt.
+std::string corrupt_answer(const std::string &id, int kind) {
+  std::string description = id + "\r\nm=video 41187 RTP/AVP 96 97 98\r\n";
+  auto with_length = [&](std::size_t length) {
+    return "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id + "\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n" + description;
+  };
+  switch (kind) {
+  case 0:
+    return "\x01\x02noise\r\n\r\n";
+  case 1:
+    return "RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: -4\r\n\r\n";
+  case 2:
+    return "RTSP/1.0 2";
+  case 3:
+    return "RTSP/1.0 200 OK\r\nContent-Length: 3000000000\r\n\r\nx";
+  case 4:
+    // What follows the stated end looks like the start of a request.
+    return with_length(description.find("P 96"));
+  case 5:
+    return with_length(description.size() + 5);
+  default:
+    // Noise in the description that is not UTF-8.
+    return format_rtsp_answer(id, 1, 200, "", "v=\xe4\xff" + id);
+  }
+}
+
 } // namespace
 
 StandInServer::StandInServer(asio::io_context &io, const Scenario &scenario, Ledger &ledger, int index,
@@ -178,10 +208,7 @@
   }
   if (rng_.bernoulli(behaviour.corrupt_share)) {
     ledger_.attempt_ended(session, index_, false, "spoilt answer");
-    constexpr const char *kCorruptAnswers[] = {
-        "\x01\x02noise\r\n\r\n", "RTSP/1.0 200 OK\r\nCSeq: 1\r\nContent-Length: -4\r\n\r\n", "RTSP/1.0 2",
-        "RTSP/1.0 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"};
-    return connection->stream->send(kCorruptAnswers[rng_.uniform_int(0, 3)]);
+    return connection->stream->send(corrupt_answer(id, rng_.uniform_int(0, kCorruptKinds - 1)));
   }
   std::string description = "v=" + id + ";" + std::to_string(index_);
   ledger_.attempt_ended(session, index_, false, "served");
