--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -248,7 +248,7 @@
   connection->settle_timer.expires_after(to_timer_duration(wait));
   connection->settle_timer.async_wait(
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-        if (error || alive.expired() || connection->state != State::open) return;
+        if (error || alive.expired() || !connection->is_receiving()) return;
         // What has arrived meanwhile is read first.
         if (!connection->has_unread_data()) deliver_last(connection);
       });
--- a/tests/rtsp/test_rtsp.cpp
+++ b/tests/rtsp/test_rtsp.cpp
@@ -3,6 +3,7 @@
 #include "http/socket_helpers.h"
 #include "platform/outcome_mapping.h"
 #include "rtsp/message.h"
+#include "rtsp/piece_pauses.h"
 
 #include <catch2/catch.hpp>
 
@@ -309,6 +310,21 @@
   }
 }
 
+// Guards against answers that are delayed without need, and against a hold that ends between two slow pieces.
+TEST_CASE("a message is held for longer than the pauses between its pieces, and not at all in one piece") {
+  rtsp::PiecePauses pauses;
+  pauses.piece_received(10, false);
+  CHECK(pauses.settle_time() == 0);
+  pauses.piece_received(10.02, true);
+  pauses.piece_received(10.021, true);
+  CHECK(pauses.settle_time() > 0.02);
+  pauses.piece_received(10.221, true);
+  // Well within the time limit of an answer.
+  CHECK(pauses.settle_time() <= 0.1);
+  pauses.piece_received(11, false);
+  CHECK(pauses.settle_time() == 0);
+}
+
 // Guards against answers that are held back for good, or lost, since nothing follows them.
 TEST_CASE(
     "peer: a good answer is delivered however it arrives, and also when its connection ends behind it") {
