--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -39,6 +39,63 @@
   }
 };
 
+// A front end with fewer descriptors than servers. Each server is the only one in its cell.
+struct ScarceScene : PlatformScene {
+  static constexpr int kServers = 14;
+  static constexpr unsigned kSockets = 32;
+  RawClient &viewer;
+  const std::size_t max_connections = platform::compute_resource_limits(kSockets, 48).server_descriptors;
+
+  ScarceScene()
+      : PlatformScene(kServers, "safe",
+                      [](nlohmann::json &settings) {
+                        settings["limits"]["sockets"] = kSockets;
+                        settings["settings"]["family_info"]["cells"] = kServers;
+                        int cell = 0;
+                        for (auto &target : settings["known"]["cmds"][0]["nodes"]["targets"])
+                          target["pod_group"] = cell++;
+                      }),
+        viewer(connect_viewer()) {
+    if (max_connections >= kServers) throw std::logic_error("descriptors are not scarce");
+  }
+  // Requests a play that only this server can take. Returns its tag.
+  std::string request_at(std::size_t server) {
+    std::string tag = next_tag(), line = start_line(tag);
+    line.replace(line.find("home:0"), 6, "home:" + std::to_string(server));
+    viewer.send(line);
+    return tag;
+  }
+  bool has_started(const std::string &tag) {
+    return until([&] { return has_received(viewer, "STARTED", tag); }, 1.5);
+  }
+  std::string start_at(std::size_t server) {
+    std::string tag = request_at(server);
+    CHECK(has_started(tag));
+    return tag;
+  }
+};
+
+// All descriptors are in use by connections to servers, one to each, with one play on each. The next play
+// needs the descriptor of the oldest connection, which goes to the first server.
+struct FullScene : ScarceScene {
+  // The play on the first server.
+  std::string first;
+  FullScene() {
+    first = start_at(0);
+    for (std::size_t s = 1; s < max_connections; ++s) start_at(s);
+    run(0.4);
+  }
+  std::string request_next() { return request_at(max_connections); }
+  void release_first() {
+    RawServer::send(*servers[0]->server.connections[0],
+                    ScriptedServer::request(first, "TEARDOWN", {{"Reason", "cause=16"}}));
+  }
+  // The protocol's limit between a server's release and the viewer's line.
+  bool is_first_ended() {
+    return until([&] { return has_received(viewer, "FINISH", first); }, 1);
+  }
+};
+
 } // namespace
 
 TEST_CASE("many servers: a change of one server costs work for the whole list", "[many]") {
@@ -78,27 +135,14 @@
 TEST_CASE(
     "many servers: more of them hold sessions than connections may be open, so set-ups or ends are lost",
     "[many]") {
-  constexpr int kServers = 14;
-  constexpr unsigned kSockets = 32;
-  REQUIRE(platform::compute_resource_limits(kSockets, 48).server_descriptors < kServers);
-  PlatformScene scene(kServers, "safe", [&](nlohmann::json &config) {
-    config["limits"]["sockets"] = kSockets;
-    config["settings"]["family_info"]["cells"] = kServers;
-    int cell = 0;
-    for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"]) target["pod_group"] = cell++;
-  });
-  RawClient &viewer = scene.connect_viewer();
+  ScarceScene scene;
+  constexpr std::size_t kServers = ScarceScene::kServers;
   std::vector<std::string> tags;
-  for (int s = 0; s < kServers; ++s) {
-    tags.push_back(scene.next_tag());
-    std::string line = PlatformScene::start_line(tags.back());
-    line.replace(line.find("home:0"), 6, "home:" + std::to_string(s));
-    viewer.send(line);
-    CHECK(scene.until([&] { return PlatformScene::has_received(viewer, "STARTED", tags.back()); }, 1.5));
+  for (std::size_t s = 0; s < kServers; ++s) {
+    tags.push_back(scene.start_at(s));
     scene.run(0.3);
   }
-  CHECK(scene.front->servers().connections() <=
-        platform::compute_resource_limits(kSockets, 48).server_descriptors);
+  CHECK(scene.front->servers().connections() <= scene.max_connections);
   // Each server sends its release on an open connection, or on the next one that is established.
   std::vector<bool> release_sent(kServers, false);
   auto all_released = [&] {
@@ -110,100 +154,33 @@
                       ScriptedServer::request(tags[s], "TEARDOWN", {{"Reason", "cause=16"}}));
     }
     return std::ranges::all_of(
-        tags, [&](const auto &tag) { return PlatformScene::has_received(viewer, "FINISH", tag); });
+        tags, [&](const auto &tag) { return PlatformScene::has_received(scene.viewer, "FINISH", tag); });
   };
   CHECK(scene.until(all_released, 8));
 }
 
 TEST_CASE("many servers: a removed server's session ends when its connection is closed for another server",
           "[many]") {
-  constexpr int kServers = 14;
-  constexpr unsigned kSockets = 32;
-  PlatformScene scene(kServers, "safe", [&](nlohmann::json &config) {
-    config["limits"]["sockets"] = kSockets;
-    config["settings"]["family_info"]["cells"] = kServers;
-    int cell = 0;
-    for (auto &target : config["known"]["cmds"][0]["nodes"]["targets"]) target["pod_group"] = cell++;
-  });
-  RawClient &viewer = scene.connect_viewer();
-  auto start_at_cell = [&](int cell) {
-    std::string tag = scene.next_tag(), line = PlatformScene::start_line(tag);
-    line.replace(line.find("home:0"), 6, "home:" + std::to_string(cell));
-    viewer.send(line);
-    CHECK(scene.until([&] { return PlatformScene::has_received(viewer, "STARTED", tag); }, 1.5));
-    return tag;
-  };
-  std::string first = start_at_cell(0);
+  ScarceScene scene;
+  std::string first = scene.start_at(0);
   REQUIRE(scene.until([&] { return !scene.channel.connections.empty(); }));
   ServerRecord left = PlatformScene::record_of(1, *scene.servers[0], 2);
   scene.send_on_channel(frame(2, 2, record(left)));
   REQUIRE(scene.until([&] { return scene.front->core().list_version() == 2; }));
-  for (int s = 1; s < kServers; ++s) {
+  for (std::size_t s = 1; s < ScarceScene::kServers; ++s) {
     scene.run(0.35);
-    start_at_cell(s);
+    scene.start_at(s);
     RawServer::send(*scene.servers[0]->server.connections[0],
                     ScriptedServer::request(first, "ANNOUNCE", {{"X-Outcome", "link"}, {"P-Amount", "0.3"}}));
   }
   // The play continues on its connection.
-  CHECK_FALSE(PlatformScene::has_received(viewer, "FINISH", first));
+  CHECK_FALSE(PlatformScene::has_received(scene.viewer, "FINISH", first));
 }
 
-namespace {
-
-// A front end whose descriptors are all in use by connections to servers, one to each, with one play on each.
-// The next play needs the descriptor of the oldest connection, which goes to the first server.
-struct ScarceScene : PlatformScene {
-  static constexpr int kServers = 12;
-  static constexpr unsigned kSockets = 32;
-  RawClient &viewer;
-  std::size_t max_connections = platform::compute_resource_limits(kSockets, 48).server_descriptors;
-  // The play on the first server.
-  std::string first;
-
-  ScarceScene()
-      : PlatformScene(kServers, "safe",
-                      [](nlohmann::json &settings) {
-                        settings["limits"]["sockets"] = kSockets;
-                        settings["settings"]["family_info"]["cells"] = kServers;
-                        int cell = 0;
-                        for (auto &target : settings["known"]["cmds"][0]["nodes"]["targets"])
-                          target["pod_group"] = cell++;
-                      }),
-        viewer(connect_viewer()) {
-    for (std::size_t s = 0; s < max_connections; ++s) {
-      std::string tag = start_at_cell(s);
-      if (s == 0) first = tag;
-      if (!until([&] { return has_received(viewer, "STARTED", tag); }, 1.5))
-        throw std::runtime_error("the play does not start");
-    }
-    run(0.4);
-  }
-  std::string start_at_cell(std::size_t cell) {
-    std::string tag = next_tag(), line = start_line(tag);
-    line.replace(line.find("home:0"), 6, "home:" + std::to_string(cell));
-    viewer.send(line);
-    return tag;
-  }
-  std::string start_next() { return start_at_cell(max_connections); }
-  void release_first() {
-    RawServer::send(*servers[0]->server.connections[0],
-                    ScriptedServer::request(first, "TEARDOWN", {{"Reason", "cause=16"}}));
-  }
-  bool has_started(const std::string &tag) {
-    return until([&] { return has_received(viewer, "STARTED", tag); }, 1.5);
-  }
-  // The protocol's limit between a server's release and the viewer's line.
-  bool is_first_ended() {
-    return until([&] { return has_received(viewer, "FINISH", first); }, 1);
-  }
-};
-
-} // namespace
-
 TEST_CASE("many servers: a connection goes to make room for another while a server's release is unread on it",
           "[many]") {
-  ScarceScene scene;
-  std::string next = scene.start_next();
+  FullScene scene;
+  std::string next = scene.request_next();
   scene.release_first();
   CHECK(scene.has_started(next));
   CHECK(scene.is_first_ended());
@@ -211,8 +188,8 @@
 
 TEST_CASE("many servers: a connection that makes room goes while a server's release is on its way",
           "[many]") {
-  ScarceScene scene;
-  std::string next = scene.start_next();
+  FullScene scene;
+  std::string next = scene.request_next();
   // The server sends its release before it knows that the connection is closed, and closes it then.
   auto &connection = *scene.servers[0]->server.connections[0];
   REQUIRE(scene.until([&] { return connection.closed; }, 1.5));
