A slow release is not cut off after 0.25 s on a connection without set-ups

Cause: Peer::maintain() closes a connection whose message is not whole 0.25 s after its first byte. The limit keeps set-ups from waiting for an answer that stops short; a release that is cut comes on one more connection only.

Change: on a connection without set-ups a message has 2 s.

Test: "peer: a slow release is cut off although nothing else waits on its connection" failed before, passes after.

--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -537,8 +537,9 @@
   for (auto &connection : std::vector(connections_.begin(), connections_.end())) {
     bool unused = connection->set_ups.empty() && !connection->reader.ends_with_message();
     bool idle = connection->state == State::open && unused;
+    double message_timeout = connection->set_ups.empty() ? timeouts_.idle_message : timeouts_.message;
     if (connection->state == State::open && connection->partial_since >= 0 &&
-        now - connection->partial_since > timeouts_.message)
+        now - connection->partial_since > message_timeout)
       close(connection, EndReason::unreadable);
     else if (connection->retired && unused && now - connection->retired_at > kRetiredLifetime)
       close(connection, EndReason::closed);
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -22,8 +22,11 @@
 struct Timeouts {
   // A connection that is not established within this time has failed.
   double connect = 0.25;
-  // A message that is not complete within this time after its first byte counts as unreadable.
+  // A message that is not complete within this time after its first byte counts as unreadable while set-ups
+  // wait on its connection.
   double message = 0.25;
+  // The same on a connection without set-ups, where a slow release delays nobody.
+  double idle_message = 2;
   // The server closes a connection that is idle for longer than this.
   double idle = 30;
   double probe = 0.25;
--- a/tests/rtsp/test_rtsp.cpp
+++ b/tests/rtsp/test_rtsp.cpp
@@ -340,6 +340,21 @@
   }
 }
 
+// Guards against a release that is never told: a server says it on one more connection at most.
+TEST_CASE("peer: a slow release is cut off although nothing else waits on its connection") {
+  PeerScene scene;
+  scene.send(answer(kDescription), 1000, 0.01);
+  REQUIRE(scene.until_ended());
+  std::string release = "TEARDOWN rtsp://media/s RTSP/1.0\r\nCSeq: 2\r\nSession: 9b1f03aa5c7e2d41\r\n"
+                        "Reason: cause=16\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t at = 0; at < release.size(); at += 20) {
+    scene.send(release.substr(at, 20), 20, 0.1);
+    scene.peer->maintain();
+  }
+  CHECK(testing::run_until(
+      scene.io, [&] { return scene.requests == std::vector<std::string>{"TEARDOWN"}; }, 0.5));
+}
+
 TEST_CASE("peer: messages that follow each other in pieces are all delivered") {
   PeerScene scene;
   scene.send(answer(kDescription) + kNote + kNote, 100, 0.001);
