Laboratory: a crashed server keeps its port, so that no outgoing connection takes it

Cause: a crashed stand-in listens again on the port that the system gave it, which lies in the range that the system uses for outgoing connections; meanwhile nothing held it.

Change: between crash and start a bound socket that does not listen holds the port; connections are refused as before.

--- a/src/lab/server.cpp
+++ b/src/lab/server.cpp
@@ -45,6 +45,8 @@
       [this](const http::Request &request, const std::shared_ptr<http::Exchange> &exchange) {
         on_request(request, exchange);
       });
+  asio::error_code ignored;
+  reserved_port_.close(ignored);
   address_ = server_->local_endpoint();
   up_ = true;
   draining_ = failed_ = false;
@@ -58,9 +60,19 @@
   if (up_) {
     drop_plays(false);
     server_->stop(true);
+    reserve_port();
   }
 }
 
+// While nothing listens, the system may give the port to an outgoing connection. A bound socket prevents that
+// and still refuses connections.
+void SimulatedServer::reserve_port() {
+  asio::error_code ignored;
+  reserved_port_.open(address_.protocol(), ignored);
+  reserved_port_.set_option(asio::socket_base::reuse_address(true), ignored);
+  reserved_port_.bind(address_, ignored);
+}
+
 // The listener stays open but answers nothing, which approximates a host that drops all packets.
 void SimulatedServer::vanish() {
   if (up_) drop_plays(true);
--- a/src/lab/server.h
+++ b/src/lab/server.h
@@ -97,6 +97,7 @@
   void on_media(const http::Request &request, const std::shared_ptr<http::Exchange> &exchange);
   void on_reports(const http::Request &request, const std::shared_ptr<http::Exchange> &exchange);
   void drop_plays(bool silent);
+  void reserve_port();
   void finish_set_up(const std::string &id);
   void end_play(const std::string &id, const char *reason, bool send_report = true);
   void send_report(const std::string &front, const serverwire::Report &report, double delay);
@@ -115,6 +116,8 @@
   double with_noise(double value) const;
 
   asio::io_context &io_;
+  // Bound to the server's port, without listening, between a crash and the next start.
+  asio::ip::tcp::acceptor reserved_port_{io_};
   telemetry::LoopClock &clock_;
   Trace &trace_;
   const Day &day_;
