--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -411,6 +411,11 @@
   if (play.state != PlayState::playing) return;
   int allocation = play.allocation;
   player_gateway_.send_end(index, outcome);
+  if (log_.is_enabled(telemetry::LogLevel::info))
+    log_.info("session_ended", {{"session", settings::format_hex16(play.id)},
+                                {"server", servers_.id(play.server)},
+                                {"outcome", setting_names::name_of(outcome)},
+                                {"after", clock_.now() - play.started_at}});
   call_engine([&] { engine_->allocation_ended(index, allocation, outcome, true, report); });
 }
 
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -2,6 +2,7 @@
 #include "decision/connection_budget.h"
 #include "decision/setting_names.h"
 #include "platform/outcome_mapping.h"
+#include "settings/hex_id.h"
 #include "settings/translation.h"
 #include "telemetry/loop_clock.h"
 
@@ -26,6 +27,10 @@
     {"link", FeedbackKind::link_demand},
     {"uplink", FeedbackKind::uplink_demand}};
 
+std::string text_of(const asio::ip::tcp::endpoint &address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 } // namespace
 
 RtspServerGateway::RtspServerGateway(asio::io_context &io, const NodeConfig &config, telemetry::Log &log,
@@ -81,6 +86,7 @@
   }
   if (plays_at(server) == 0) return;
   log_.info("server_changed", {{"server", entry.id},
+                               {"address", text_of(entry.address)},
                                {"standing", static_cast<int>(entry.status)},
                                {"moved", moved},
                                {"restarted", restarted},
@@ -125,8 +131,14 @@
     core_->probe_answered(server, outcome,
                           message && outcome == Outcome::done ? load_report_of(*message) : LoadReport{});
   };
-  events.on_data = events.on_connected = [this, server] {
-    server_slot(server)->liveness.data_received(core_->clock().now());
+  events.on_data = [this, server] { server_slot(server)->liveness.data_received(core_->clock().now()); };
+  events.on_connected = [this, server] {
+    ServerSlot &connected = *server_slot(server);
+    connected.liveness.data_received(core_->clock().now());
+    if (plays_at(server) == 0) return;
+    log_.info("server_connected", {{"server", connected.entry.id},
+                                   {"address", text_of(connected.peer->address())},
+                                   {"plays", plays_at(server)}});
   };
   events.on_disconnected = [this, server](rtsp::EndReason end, bool last) {
     connection_ended(server, end, last);
@@ -160,6 +172,11 @@
   ServerSlot &slot = *server_slot(server);
   ++counters_.disconnects[static_cast<std::size_t>(end)];
   double now = core_->clock().now();
+  if (plays_at(server) > 0)
+    log_.info("server_disconnected", {{"server", slot.entry.id},
+                                      {"cause", rtsp::kEndReasonNames[static_cast<std::size_t>(end)]},
+                                      {"last", last},
+                                      {"plays", plays_at(server)}});
   if (end == rtsp::EndReason::connection_refused) slot.liveness.connection_refused(now);
   if (end == rtsp::EndReason::connect_failed) slot.liveness.connection_timed_out(now);
   // Messages that the server sent on that connection may be lost. It repeats its releases on the next
@@ -380,9 +397,10 @@
   int play = core_->plays().find(session);
   if (play < 0 || core_->plays().at(play).server != server ||
       core_->plays().at(play).state != PlayState::playing) {
+    if (play >= 0) return count_unapplied(server, play, message.method);
     ++counters_.unknown_sessions;
     // After a restart, releases may arrive before the viewers hand their plays over.
-    if (play >= 0 || message.method != "TEARDOWN") return;
+    if (message.method != "TEARDOWN") return;
     if (early_releases_.size() >= kMaxEarlyReleases) early_releases_.pop_front();
     early_releases_.push_back({session, server_slot(server)->entry.id,
                                release_outcome(release_cause(message).value_or(kCauseFailed)),
@@ -413,6 +431,22 @@
   core_->play_ended(play, outcome, load_report_of(message));
 }
 
+// A message about a session that this front end holds has no effect: the session is at another server or does
+// not run.
+void RtspServerGateway::count_unapplied(int server, int play, std::string_view method) {
+  const PlayRecord &record = core_->plays().at(play);
+  bool elsewhere = record.server != server;
+  ++(elsewhere ? counters_.unapplied_elsewhere : counters_.unapplied_not_running);
+  log_.info("message_unapplied",
+            {{"session", settings::format_hex16(record.id)},
+             {"method", method},
+             {"from", server_slot(server)->entry.id},
+             {"address", text_of(server_slot(server)->entry.address)},
+             {"server", record.server >= 0 ? core_->server_id(record.server) : ""},
+             {"state", edge::name_of(record.state)},
+             {"cause", elsewhere ? "session is at another server" : "session does not run"}});
+}
+
 bool RtspServerGateway::has_unsent_releases() const {
   return std::ranges::any_of(servers_with_peer_, [&](int s) {
     return server_slots_[static_cast<std::size_t>(s)]->peer->has_unwritten_releases();
--- a/src/platform/rtsp_server_gateway.h
+++ b/src/platform/rtsp_server_gateway.h
@@ -19,10 +19,12 @@
  public:
   struct Counters {
     // servers_scanned counts the servers that loops over many servers have looked at; descriptions_rejected
-    // the answers whose description a viewer's line cannot carry.
+    // the answers whose description a viewer's line cannot carry; unapplied_* the messages about sessions of
+    // this front end that had no effect, since the session was at another server or did not run.
     std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, feedback_messages = 0, malformed = 0,
                   unknown_sessions = 0, early_releases = 0, lost_silent = 0, lost_restarted = 0,
-                  lost_gone = 0, closed_for_budget = 0, servers_scanned = 0, descriptions_rejected = 0;
+                  lost_gone = 0, closed_for_budget = 0, servers_scanned = 0, descriptions_rejected = 0,
+                  unapplied_elsewhere = 0, unapplied_not_running = 0;
     // Results of set-ups, by Outcome.
     std::array<std::uint64_t, 8> outcomes{};
     // Ends of connections, by rtsp::EndReason.
@@ -108,6 +110,7 @@
   // Ends the plays that were set up on the server before this time, and increments the counter where there
   // are any.
   void server_lost(int server, const char *reason, std::uint64_t &counter, double before = 1e18);
+  void count_unapplied(int server, int play, std::string_view method);
   LoadReport load_report_of(const rtsp::Message &message);
   // Schedules the next check of all servers that hold plays or have a peer.
   void check_servers();
