A process, its address, its server's id and its connections are told apart

Callers saw: sessions that ended at a server which had taken the address of another were never released; sessions of the earlier process were told late or never. Cause: messages, liveness and ends were tied to the id for which a connection was opened, while a connection reaches whichever process listens at the address.

Now a message counts for the session's server if that has the address on which it came (release, note, release before the answer, early release, late answer); ProcessContinuity keeps since when the process behind a server's connections is known to be the same, and sessions that it is not known to hold end, with a release at the address, as soon as the list says that their server has gone or another took its address (registry::AddressBook: the server that came last holds it, until it goes). What waits for a connection to such a server is not sent. A client's release reaches a server that has left on an open connection or its successor's.

many-servers listed 1,600 servers at one address, which no deployment can have; each has a port of its own now, bounds unchanged.

--- a/cmake/front.cmake
+++ b/cmake/front.cmake
@@ -35,7 +35,7 @@
 add_library(snowshore_config STATIC src/config/front_config.cpp)
 target_link_libraries(snowshore_config PUBLIC snowshore_decision snowshore_records snowshore_http)
 
-add_library(snowshore_registry STATIC src/registry/server_registry.cpp)
+add_library(snowshore_registry STATIC src/registry/server_registry.cpp src/registry/address_book.cpp)
 target_include_directories(snowshore_registry SYSTEM PUBLIC ${ASIO_INCLUDE})
 target_compile_definitions(snowshore_registry PUBLIC ASIO_STANDALONE)
 target_link_libraries(snowshore_registry PUBLIC snowshore_decision)
@@ -53,7 +53,7 @@
 add_library(snowshore_discovery STATIC src/discovery/frames.cpp src/discovery/client.cpp)
 target_link_libraries(snowshore_discovery PUBLIC snowshore_edge)
 
-add_library(snowshore_platform STATIC src/platform/node_config.cpp src/platform/liveness.cpp src/platform/outcome_mapping.cpp
+add_library(snowshore_platform STATIC src/platform/node_config.cpp src/platform/liveness.cpp src/platform/process_continuity.cpp src/platform/outcome_mapping.cpp
             src/platform/viewer_gateway.cpp src/platform/rtsp_server_gateway.cpp src/platform/front.cpp src/platform/run.cpp)
 target_link_libraries(snowshore_platform PUBLIC snowshore_settings snowshore_edge snowshore_jsonlines snowshore_rtsp
                       snowshore_discovery)
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -201,7 +201,7 @@
   play.product = request.product;
   play.server = server_index;
   play.allocation = 0;
-  play.started_at = latest_set_up_time(clock_.now(), started_at_, first_test_at);
+  play.started_at = play.held_at = latest_set_up_time(clock_.now(), started_at_, first_test_at);
   plays_.set_state(ref.index, PlayState::playing);
   request.title = play.title;
   call_engine([&] { engine_->play_handed_over(ref.index, server_index, request); });
@@ -379,6 +379,7 @@
   }
   plays_.set_state(index, PlayState::playing);
   play.started_at = clock_.now();
+  play.held_at = clock_.read_now();
   play.cause = FailureCause::none;
   if (may_answer(index)) player_gateway_.send_set_up_result(index, result);
   record_answer(index, "plays");
@@ -419,13 +420,16 @@
   call_engine([&] { engine_->allocation_ended(index, allocation, outcome, true, report); });
 }
 
-void Core::server_lost(int server, const char *reason, double before) {
-  counters_->lost_servers.Increment();
-  log_.warning("server_lost", {{"server", servers_.id(server)}, {"cause", reason}});
+void Core::server_lost(int server, const char *reason) {
   auto on_server = plays_.playing_at(server);
   // A copy, since each ended play is removed from the table's own list.
-  for (int index : std::vector(on_server.begin(), on_server.end())) {
-    if (plays_.at(index).started_at >= before) continue;
+  server_lost(server, reason, std::vector(on_server.begin(), on_server.end()));
+}
+
+void Core::server_lost(int server, const char *reason, const std::vector<int> &plays) {
+  counters_->lost_servers.Increment();
+  log_.warning("server_lost", {{"server", servers_.id(server)}, {"cause", reason}, {"plays", plays.size()}});
+  for (int index : plays) {
     count_ended_play("server_lost");
     play_ended(index, Outcome::reset);
   }
@@ -532,20 +536,28 @@
 
 bool Core::apply_slice(ListUpdate &update) {
   double start = telemetry::steady_seconds();
+  if (update.next == 0) servers_.begin_update();
   if (update.is_full && update.next == 0) servers_.begin_full_list();
   std::vector<ServerEntry> entries;
   auto update_server = [&](int server) {
+    if (servers_.is_displaced(server))
+      log_.info("address_taken", {{"server", servers_.id(server)},
+                                  {"by", servers_.id(servers_.find_at(servers_.at(server).address))}});
     send_guard_.set_server_status(server, servers_.at(server).status, clock_.now());
     server_gateway_.update_server(server, servers_.at(server));
     entries.push_back(entry_of(server));
   };
   const std::vector<ListedServer> &listed_servers = update.list.servers;
   std::size_t end = std::min(listed_servers.size(), update.next + kServersPerSlice);
-  for (; update.next < end; ++update.next) update_server(servers_.apply(listed_servers[update.next]));
+  for (; update.next < end; ++update.next) {
+    update_server(servers_.apply(listed_servers[update.next]));
+    for (int server : servers_.address_changes()) update_server(server);
+  }
   bool done = update.next == listed_servers.size();
   // Servers that the whole list no longer names have left.
   if (done && update.is_full) {
     for (int server : servers_.finish_full_list()) update_server(server);
+    for (int server : servers_.address_changes()) update_server(server);
   }
   ListUpdateKind kind =
       std::exchange(engine_has_list_, true) ? ListUpdateKind::changes : ListUpdateKind::initial;
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -133,8 +133,10 @@
   // A running play has ended.
   void play_ended(int play, Outcome outcome, const LoadReport &report = {});
   void probe_answered(int server, Outcome outcome, const LoadReport &report);
-  // Ends all plays that were set up on the server before this time. `reason` is logged and counted.
-  void server_lost(int server, const char *reason, double before = 1e18);
+  // Ends all plays on the server. `reason` is logged and counted.
+  void server_lost(int server, const char *reason);
+  // Ends these plays, which the server no longer holds.
+  void server_lost(int server, const char *reason, const std::vector<int> &plays);
 
   // ---- Changes of settings in service.
   // Passes new settings to the engine; plays in progress keep the time limits that they have.
--- a/src/edge/play_table.h
+++ b/src/edge/play_table.h
@@ -57,6 +57,8 @@
   // started_at: when the play started to run; for one that was handed over, the latest time at which it can
   // have.
   double requested_at = 0, deadline = 0, started_at = 0;
+  // When its server last showed that it holds the play; for one that was handed over, started_at at first.
+  double held_at = 0;
   // Seconds that the front end itself has spent on the play, and when it last began to work on it.
   double processing_time = 0, processing_since = 0;
   FailureCause cause = FailureCause::none;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -198,6 +198,7 @@
                  {"lost_silent", server_counts.lost_silent},
                  {"lost_restarted", server_counts.lost_restarted},
                  {"lost_gone", server_counts.lost_gone},
+                 {"lost_replaced", server_counts.lost_replaced},
                  {"early_ends", server_counts.early_releases},
                  {"unknown_sessions", server_counts.unknown_sessions},
                  {"unapplied_elsewhere", server_counts.unapplied_elsewhere},
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -84,6 +84,20 @@
     slot.peer->close_all();
     close_peer(server);
   }
+  if (moved) {
+    // What was observed concerns the process at the old address.
+    slot.liveness = Liveness(liveness_settings_);
+    slot.process = {};
+  }
+  if (has_left) {
+    // Posted, so that the engine knows of the change when set-ups end.
+    asio::post(io_, [this, server, serial = slot.serial, alive = std::weak_ptr<bool>(alive_)] {
+      if (alive.expired() || !server_slot(server) || server_slot(server)->serial != serial) return;
+      if (rtsp::Peer *peer = server_slot(server)->peer.get(); peer && core_->send_guard().has_left(server))
+        peer->close_connecting();
+      if (server_slot(server)) end_unconfirmed_plays(server);
+    });
+  }
   if (plays_at(server) == 0) return;
   log_.info("server_changed", {{"server", entry.id},
                                {"address", text_of(entry.address)},
@@ -91,12 +105,13 @@
                                {"moved", moved},
                                {"restarted", restarted},
                                {"plays", plays_at(server)}});
-  if (!moved && !restarted && !(has_left && (!slot.peer || slot.peer->open_connections() == 0))) return;
+  if (!moved && !restarted) return;
   asio::post(io_, [this, server, serial = slot.serial, restarted, before = entry.started_at,
                    alive = std::weak_ptr<bool>(alive_)] {
     if (alive.expired() || !server_slot(server) || server_slot(server)->serial != serial) return;
     if (restarted)
-      server_lost(server, "restarted", counters_.lost_restarted, before);
+      server_lost(server, "restarted", counters_.lost_restarted,
+                  [before](const PlayRecord &play) { return play.started_at < before; });
     else
       server_lost(server, "gone", counters_.lost_gone);
   });
@@ -131,7 +146,12 @@
     core_->probe_answered(server, outcome,
                           message && outcome == Outcome::done ? load_report_of(*message) : LoadReport{});
   };
-  events.on_data = [this, server] { server_slot(server)->liveness.data_received(core_->clock().now()); };
+  events.on_data = [this, server](double connected_for) {
+    ServerSlot &heard = *server_slot(server);
+    heard.liveness.data_received(core_->clock().now());
+    double now = core_->clock().read_now();
+    heard.process.heard(now - connected_for, now);
+  };
   events.on_connected = [this, server] {
     ServerSlot &connected = *server_slot(server);
     connected.liveness.data_received(core_->clock().now());
@@ -151,7 +171,7 @@
   };
   events.has_session = [this, server](std::uint64_t session) {
     int play = core_->plays().find(session);
-    return play >= 0 && core_->plays().at(play).server == server;
+    return play >= 0 && have_same_address(server, core_->plays().at(play).server);
   };
   slot.peer = std::make_unique<rtsp::Peer>(io_, slot.entry.address, timeouts_, limits_, peer_counters_,
                                            core_->seed() ^ *slot.entry.stable_id, std::move(events));
@@ -208,12 +228,46 @@
   return true;
 }
 
-void RtspServerGateway::server_lost(int server, const char *reason, std::uint64_t &counter, double before) {
-  bool has_plays = std::ranges::any_of(core_->plays().playing_at(server),
-                                       [&](int play) { return core_->plays().at(play).started_at < before; });
-  if (!has_plays) return;
+void RtspServerGateway::server_lost(int server, const char *reason, std::uint64_t &counter,
+                                    const std::function<bool(const PlayRecord &)> &condition) {
+  std::vector<int> lost;
+  for (int play : core_->plays().playing_at(server)) {
+    if (!condition || condition(core_->plays().at(play))) lost.push_back(play);
+  }
+  if (lost.empty()) return;
   ++counter;
-  core_->server_lost(server, reason, before);
+  // If the process at the address holds a play after all, the release ends it there too.
+  rtsp::Peer *peer = peer_for_release(server);
+  if (peer && peer->open_connections() > 0) {
+    for (int play : lost) peer->release(core_->plays().at(play).id, kCauseFailed);
+  }
+  core_->server_lost(server, reason, lost);
+}
+
+void RtspServerGateway::end_unconfirmed_plays(int server) {
+  const ServerSlot &slot = *server_slot(server);
+  if (!slot.peer || slot.peer->open_connections() == 0)
+    return server_lost(server, "gone", counters_.lost_gone);
+  server_lost(server, "replaced", counters_.lost_replaced,
+              [&](const PlayRecord &play) { return !is_confirmed(slot, play); });
+}
+
+bool RtspServerGateway::is_confirmed(const ServerSlot &slot, const PlayRecord &play) {
+  auto age = slot.peer->oldest_connection_age();
+  if (!age) return false;
+  // Where all open connections were established after the process was heard last, they may lead to another
+  // one.
+  double connected_since = core_->clock().read_now() - *age;
+  return slot.process.heard_at() >= connected_since && slot.process.includes(play.held_at);
+}
+
+rtsp::Peer *RtspServerGateway::peer_for_release(int server) {
+  ServerSlot *slot = server_slot(server);
+  if (!slot) return nullptr;
+  if (!core_->send_guard().has_left(server)) return peer_of(server);
+  if (slot->peer && slot->peer->open_connections() > 0) return slot->peer.get();
+  int holder = core_->servers().find_at(slot->entry.address);
+  return holder >= 0 && holder != server && server_slot(holder) ? peer_of(holder) : nullptr;
 }
 
 // A connection is kept to each server that holds plays of this front end, for its messages; a server that
@@ -251,6 +305,9 @@
   if (draining_) return;
   // The address of a server that has left may belong to another server.
   bool has_left = slot.entry.status == ServerStatus::left;
+  if (has_left) end_unconfirmed_plays(server);
+  // The last play may have been the only reason to keep the server.
+  if (plays_at(server) == 0 || !server_slot(server)) return;
   if (std::exchange(slot.reconnect_requested, false) && !has_left) peer->try_connect();
   bool set_aside = peer->connections() == 0 && telemetry::steady_seconds() < slot.set_aside_until;
   // Its connection was closed for the budget; the server is contacted again at set_aside_until.
@@ -265,13 +322,11 @@
     slot.liveness.clear_connection_loss();
     // A note names one session of several: where newer plays exist, missing notes prove nothing about the
     // older ones.
-    auto plays = core_->plays().playing_at(server);
-    bool has_newer_play =
-        std::ranges::any_of(plays, [&](int play) { return core_->plays().at(play).started_at >= before; });
+    bool has_newer_play = std::ranges::any_of(core_->plays().playing_at(server), [&](int play) {
+      return core_->plays().at(play).started_at >= before;
+    });
     if (has_newer_play) return;
-    // If the server holds the plays after all, the release ends them there too.
-    for (int play : plays) peer->release(core_->plays().at(play).id, kCauseFailed);
-    return server_lost(server, "restarted_unseen", counters_.lost_restarted, before);
+    return server_lost(server, "restarted_unseen", counters_.lost_restarted);
   }
   case Liveness::Verdict::alive:
     return;
@@ -351,7 +406,8 @@
   double oldest_kept = core_->clock().now() - settings::kReleaseTimeLimit;
   while (!early_releases_.empty() && early_releases_.front().at < oldest_kept) early_releases_.pop_front();
   auto release = std::ranges::find_if(early_releases_, [&](const EarlyRelease &early) {
-    return early.session == record.id && early.server == core_->server_id(record.server);
+    return early.session == record.id && (early.server == core_->server_id(record.server) ||
+                                          early.address == core_->servers().at(record.server).address);
   });
   if (release == early_releases_.end()) return;
   ++counters_.early_releases;
@@ -371,8 +427,7 @@
 
 void RtspServerGateway::end_play(int play, std::string_view reason) {
   const PlayRecord &record = core_->plays().at(play);
-  ServerSlot *slot = server_slot(record.server);
-  if (rtsp::Peer *peer = peer_of(record.server); peer && slot->entry.status != ServerStatus::left)
+  if (rtsp::Peer *peer = peer_for_release(record.server))
     peer->release(record.id, reason == "moved" ? kCauseMoved : kCauseEnded);
 }
 
@@ -392,37 +447,68 @@
   return report;
 }
 
-// Handles a note on a play, or its release by the server. A repeated release names an unknown session.
+bool RtspServerGateway::have_same_address(int server, int other) {
+  if (server == other) return true;
+  return server_slot(server) && server_slot(other) &&
+         server_slot(server)->entry.address == server_slot(other)->entry.address;
+}
+
+// A repeated release names an unknown session.
 void RtspServerGateway::request_received(int server, std::uint64_t session, const rtsp::Message &message) {
   int play = core_->plays().find(session);
-  if (play < 0 || core_->plays().at(play).server != server ||
-      core_->plays().at(play).state != PlayState::playing) {
-    if (play >= 0) return count_unapplied(server, play, message.method);
-    ++counters_.unknown_sessions;
-    // After a restart, releases may arrive before the viewers hand their plays over.
-    if (message.method != "TEARDOWN") return;
-    if (early_releases_.size() >= kMaxEarlyReleases) early_releases_.pop_front();
-    early_releases_.push_back({session, server_slot(server)->entry.id,
-                               release_outcome(release_cause(message).value_or(kCauseFailed)),
-                               core_->clock().now()});
-    return;
-  }
-  if (message.method == "ANNOUNCE") {
-    server_slot(server)->liveness.session_message_received(core_->clock().now(),
-                                                           core_->plays().at(play).started_at);
-    auto name = message.find_header("X-Outcome"), amount = message.find_header("P-Amount");
-    auto value = amount ? settings::parse_number(*amount) : std::nullopt;
-    auto kind = std::ranges::find(kFeedbackNames, name.value_or(""),
-                                  &std::pair<std::string_view, FeedbackKind>::first);
-    if (!value || kind == std::end(kFeedbackNames)) {
-      ++counters_.malformed;
-      return;
-    }
-    ++counters_.feedback_messages;
-    ++server_slot(server)->notes;
-    return core_->record_feedback(play, kind->second, *value);
+  if (play < 0) return keep_early_release(server, session, message);
+  const PlayRecord &record = core_->plays().at(play);
+  bool is_release = message.method == "TEARDOWN";
+  if (!have_same_address(server, record.server)) return count_unapplied(server, play, message.method);
+  if (record.state == PlayState::playing) {
+    if (message.method == "ANNOUNCE") return note_received(play, message);
+    if (is_release) return release_received(play, message);
+    return count_unapplied(server, play, message.method);
   }
+  // The set-up was sent on a connection of another server id with the same address.
+  ServerSlot *slot = server_slot(record.server);
+  if (is_release && record.state == PlayState::allocating && slot->peer &&
+      slot->peer->release_received(session, message))
+    return;
+  count_unapplied(server, play, message.method);
+}
+
+// After a restart, releases may arrive before the viewers hand their plays over.
+void RtspServerGateway::keep_early_release(int server, std::uint64_t session, const rtsp::Message &message) {
+  ++counters_.unknown_sessions;
   if (message.method != "TEARDOWN") return;
+  if (early_releases_.size() >= kMaxEarlyReleases) early_releases_.pop_front();
+  const ServerSlot &slot = *server_slot(server);
+  early_releases_.push_back({session, slot.entry.id, slot.entry.address,
+                             release_outcome(release_cause(message).value_or(kCauseFailed)),
+                             core_->clock().now()});
+}
+
+void RtspServerGateway::confirm_play(int play) {
+  PlayRecord &record = core_->plays().at(play);
+  ServerSlot &slot = *server_slot(record.server);
+  double now = core_->clock().read_now();
+  slot.liveness.session_message_received(core_->clock().now(), record.started_at);
+  slot.process.heard(record.held_at, now);
+  record.held_at = now;
+}
+
+void RtspServerGateway::note_received(int play, const rtsp::Message &message) {
+  confirm_play(play);
+  auto name = message.find_header("X-Outcome"), amount = message.find_header("P-Amount");
+  auto value = amount ? settings::parse_number(*amount) : std::nullopt;
+  auto kind =
+      std::ranges::find(kFeedbackNames, name.value_or(""), &std::pair<std::string_view, FeedbackKind>::first);
+  if (!value || kind == std::end(kFeedbackNames)) {
+    ++counters_.malformed;
+    return;
+  }
+  ++counters_.feedback_messages;
+  ++server_slot(core_->plays().at(play).server)->notes;
+  core_->record_feedback(play, kind->second, *value);
+}
+
+void RtspServerGateway::release_received(int play, const rtsp::Message &message) {
   Outcome outcome = release_outcome(release_cause(message).value_or(kCauseFailed));
   ++(outcome == Outcome::done    ? counters_.ended_done
      : outcome == Outcome::reset ? counters_.ended_reset
@@ -435,8 +521,10 @@
 // not run.
 void RtspServerGateway::count_unapplied(int server, int play, std::string_view method) {
   const PlayRecord &record = core_->plays().at(play);
-  bool elsewhere = record.server != server;
-  ++(elsewhere ? counters_.unapplied_elsewhere : counters_.unapplied_not_running);
+  bool elsewhere = !have_same_address(server, record.server);
+  ++(elsewhere                            ? counters_.unapplied_elsewhere
+     : record.state == PlayState::playing ? counters_.malformed
+                                          : counters_.unapplied_not_running);
   log_.info("message_unapplied",
             {{"session", settings::format_hex16(record.id)},
              {"method", method},
@@ -444,7 +532,9 @@
              {"address", text_of(server_slot(server)->entry.address)},
              {"server", record.server >= 0 ? core_->server_id(record.server) : ""},
              {"state", edge::name_of(record.state)},
-             {"cause", elsewhere ? "session is at another server" : "session does not run"}});
+             {"cause", elsewhere                            ? "session is at another server"
+                       : record.state == PlayState::playing ? "no message that servers send"
+                                                            : "session does not run"}});
 }
 
 bool RtspServerGateway::has_unsent_releases() const {
--- a/src/platform/rtsp_server_gateway.h
+++ b/src/platform/rtsp_server_gateway.h
@@ -5,10 +5,12 @@
 #include "edge/core.h"
 #include "platform/liveness.h"
 #include "platform/node_config.h"
+#include "platform/process_continuity.h"
 #include "platform/viewer_gateway.h"
 #include "rtsp/peer.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,7 +26,7 @@
     std::uint64_t ended_done = 0, ended_reset = 0, ended_left = 0, feedback_messages = 0, malformed = 0,
                   unknown_sessions = 0, early_releases = 0, lost_silent = 0, lost_restarted = 0,
                   lost_gone = 0, closed_for_budget = 0, servers_scanned = 0, descriptions_rejected = 0,
-                  unapplied_elsewhere = 0, unapplied_not_running = 0;
+                  unapplied_elsewhere = 0, unapplied_not_running = 0, lost_replaced = 0;
     // Results of set-ups, by Outcome.
     std::array<std::uint64_t, 8> outcomes{};
     // Ends of connections, by rtsp::EndReason.
@@ -68,6 +70,7 @@
     edge::ListedServer entry;
     std::unique_ptr<rtsp::Peer> peer;
     Liveness liveness;
+    ProcessContinuity process;
     // known: the list has named the server.
     bool reconnect_requested = false, known = false;
     // Until this time of the steady clock no connection is opened, because one was closed for the connection
@@ -83,8 +86,9 @@
   // kept for the handover of the play.
   struct EarlyRelease {
     std::uint64_t session = 0;
-    // The server's id.
+    // The id and the address of the server whose connection carried it.
     std::string server;
+    asio::ip::tcp::endpoint address;
     Outcome outcome = Outcome::reset;
     double at = 0;
   };
@@ -105,11 +109,27 @@
   void check_server(int server, bool was_stalled);
   void set_up_ended(int server, std::uint64_t session, rtsp::EndReason end, const rtsp::Message *message,
                     double duration);
+  // A message about a session, on a connection to the server's address. It counts for the session's server
+  // where that has the same address, whichever id the connection was opened for.
   void request_received(int server, std::uint64_t session, const rtsp::Message &message);
+  void keep_early_release(int server, std::uint64_t session, const rtsp::Message &message);
+  void note_received(int play, const rtsp::Message &message);
+  void release_received(int play, const rtsp::Message &message);
+  bool have_same_address(int server, int other);
+  // The server has shown that it holds the play.
+  void confirm_play(int play);
+  // Whether the process behind the server's open connections is known to hold the play.
+  bool is_confirmed(const ServerSlot &slot, const edge::PlayRecord &play);
+  // Ends the plays of a server that has left which the process at its address is not known to hold.
+  void end_unconfirmed_plays(int server);
+  // The peer on which a session at the server can be released: its own or, where the server has left and no
+  // connection to it is open, that of the server which has its address. Null where there is none.
+  rtsp::Peer *peer_for_release(int server);
   void connection_ended(int server, rtsp::EndReason end, bool last);
-  // Ends the plays that were set up on the server before this time, and increments the counter where there
-  // are any.
-  void server_lost(int server, const char *reason, std::uint64_t &counter, double before = 1e18);
+  // Ends the plays on the server for which the condition holds, and increments the counter where there are
+  // any.
+  void server_lost(int server, const char *reason, std::uint64_t &counter,
+                   const std::function<bool(const edge::PlayRecord &)> &condition = {});
   void count_unapplied(int server, int play, std::string_view method);
   LoadReport load_report_of(const rtsp::Message &message);
   // Schedules the next check of all servers that hold plays or have a peer.
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -117,6 +117,15 @@
       connections_, [](const auto &connection) { return connection->state == State::open; }));
 }
 
+std::optional<double> Peer::oldest_connection_age() const {
+  std::optional<double> opened_at;
+  for (const auto &connection : connections_) {
+    if (connection->state == State::open)
+      opened_at = std::min(opened_at.value_or(connection->opened_at), connection->opened_at);
+  }
+  return opened_at ? std::optional(steady_seconds() - *opened_at) : std::nullopt;
+}
+
 std::size_t Peer::unsent_bytes() const {
   std::size_t sum = 0;
   for (const auto &connection : connections_) sum += connection->unsent;
@@ -227,7 +236,7 @@
   connection->used_at = connection->received_at = now;
   connection->pauses.piece_received(now, connection->reader.has_partial_message() ||
                                              connection->reader.ends_with_message());
-  events_.on_data();
+  events_.on_data(now - connection->opened_at);
   bool readable = connection->reader.feed(bytes, [&](const Message &message) {
     if (!alive.expired() && connection->is_receiving()) handle_message(connection, message);
   });
@@ -269,7 +278,7 @@
       if (auto number = message.find_header("CSeq")) response.add_header("CSeq", *number);
       response.add_header("Session", format_hex16(*session));
       send(connection, *session, rtsp::write_message(response));
-      if (pending_set_ups_.contains(*session)) return finish_set_up(*session, EndReason::answered, &message);
+      if (release_received(*session, message)) return;
     }
     return events_.on_request(*session, message);
   }
@@ -372,6 +381,20 @@
   return true;
 }
 
+bool Peer::release_received(std::uint64_t session, const Message &release) {
+  if (!pending_set_ups_.contains(session)) return false;
+  finish_set_up(session, EndReason::answered, &release);
+  return true;
+}
+
+void Peer::close_connecting() {
+  std::weak_ptr<bool> alive = alive_;
+  for (auto &connection : std::vector(connections_.begin(), connections_.end())) {
+    if (connection->state == State::connecting) close(connection, EndReason::no_capacity);
+    if (alive.expired()) return;
+  }
+}
+
 void Peer::release(std::uint64_t session, int cause) {
   double now = steady_seconds();
   while (!releases_.empty() &&
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -99,8 +99,10 @@
     // A request from the server: a notification or a release.
     std::function<void(std::uint64_t session, const Message &request)> on_request;
     std::function<void(EndReason end, const Message *message)> on_probe_ended;
-    // on_data: bytes were received. on_connected: a connection was established.
-    std::function<void()> on_data, on_connected;
+    // Bytes were received on a connection that was established so many seconds ago.
+    std::function<void(double connected_for)> on_data;
+    // A connection was established.
+    std::function<void()> on_connected;
     // A connection ended or could not be established; `last` is true when none is open now.
     std::function<void(EndReason end, bool last)> on_disconnected;
     // Returns whether a descriptor is available for one more connection. It may close idle connections of
@@ -116,6 +118,8 @@
   // The number of established connections; connections() also counts those being established.
   std::size_t open_connections() const;
   std::size_t connections() const { return connections_.size(); }
+  // Seconds since the oldest open connection was established, or nothing when none is open.
+  std::optional<double> oldest_connection_age() const;
   // Bytes that wait for a connection to be established or for the server to read.
   std::size_t unsent_bytes() const;
 
@@ -123,6 +127,11 @@
   // Cancels a set-up; on_set_up_ended is not raised for it. A set-up that is still unsent is discarded;
   // otherwise a release is sent to the server. Returns true when the server may have received the set-up.
   bool cancel_set_up(std::uint64_t session);
+  // The server released the session, in a message on a connection of another peer. Ends the pending set-up
+  // of the session; returns false where there is none.
+  bool release_received(std::uint64_t session, const Message &release);
+  // Closes the connections that are not established yet; what waits for them is not sent.
+  void close_connecting();
   // Releases an established session. The release is repeated on another connection when the one that carried
   // it ends before the server can be assumed to have received it.
   void release(std::uint64_t session, int cause);
--- a/tests/platform/test_address_reuse.cpp
+++ b/tests/platform/test_address_reuse.cpp
@@ -2,6 +2,8 @@
 // id, to the process and to the connection. The server of a test plays both processes, which share its
 // listener.
 #include "platform/platform_fixture.h"
+#include "platform/process_continuity.h"
+#include "registry/server_registry.h"
 
 #include <catch2/catch.hpp>
 
@@ -290,3 +292,89 @@
   }
   CHECK(both_serve());
 }
+
+// A session held at 3 belongs to the process that is heard last, or to one before.
+TEST_CASE("continuity: a connection to a new process is taken for one to the process before") {
+  struct Row {
+    const char *name;
+    // Since when, and when something was heard.
+    std::vector<std::pair<double, double>> heard;
+    bool includes;
+  };
+  for (const Row &row : std::vector<Row>{
+           {"one connection", {{1, 3}, {1, 9}}, true},
+           {"a second connection beside the first", {{1, 3}, {4, 5}, {1, 6}, {4, 7}}, true},
+           {"a second connection, the first is heard no more", {{1, 3}, {4, 5}, {4, 7}}, false},
+           {"a new connection after the first has ended", {{1, 3}, {4, 5}}, false},
+           {"a new connection, and a message about the session", {{1, 3}, {4, 5}, {3, 6}}, true},
+           {"a new connection, and a message about another session of the old process",
+            {{1, 3}, {4, 5}, {2, 6}},
+            true},
+           {"a new connection, and a message about a session set up on it",
+            {{1, 3}, {4, 5}, {4.5, 6}},
+            false},
+           {"a connection from before the session, after a third process", {{1, 3}, {4, 5}, {8, 9}}, false},
+           {"nothing", {}, false}}) {
+    CAPTURE(row.name);
+    platform::ProcessContinuity process;
+    for (auto [since, now] : row.heard) process.heard(since, now);
+    CHECK(process.includes(3) == row.includes);
+  }
+}
+
+TEST_CASE("registry: a server keeps an address that another one has taken") {
+  registry::ServerRegistry servers;
+  auto entry = [](const char *id, unsigned short port, ServerStatus status = ServerStatus::active,
+                  double started_at = 0) {
+    registry::ListedServer out;
+    out.id = id, out.status = status, out.started_at = started_at;
+    out.address = {asio::ip::address_v4::loopback(), port};
+    return out;
+  };
+  auto has_left = [&](const char *id) { return servers.at(servers.find(id)).status == ServerStatus::left; };
+  auto changed = [&](const char *id) {
+    return servers.address_changes() == std::vector<int>{servers.find(id)};
+  };
+  servers.begin_update();
+  servers.apply(entry("a", 1)), servers.apply(entry("b", 2));
+  CHECK(servers.address_changes().empty());
+  servers.begin_update();
+  servers.apply(entry("c", 1));
+  CHECK((has_left("a") && !has_left("c") && changed("a")));
+  CHECK((servers.is_displaced(servers.find("a")) && servers.list().servers.size() == 2));
+  CHECK(servers.find_at(entry("", 1).address) == servers.find("c"));
+  // A repeated entry is no news of the address.
+  servers.begin_update();
+  servers.apply(entry("a", 1));
+  CHECK((has_left("a") && !has_left("c") && servers.address_changes().empty()));
+  // Discovery tells that the earlier one has gone.
+  servers.begin_update();
+  servers.apply(entry("a", 1, ServerStatus::left));
+  CHECK((has_left("a") && !servers.is_displaced(servers.find("a")) && servers.address_changes().empty()));
+  // It comes back, as a new process.
+  servers.begin_update();
+  servers.apply(entry("a", 1));
+  CHECK((!has_left("a") && has_left("c") && changed("c")));
+  // The address is free again.
+  servers.begin_update();
+  servers.apply(entry("a", 1, ServerStatus::left));
+  CHECK((!has_left("c") && changed("c")));
+  // Two servers swap their addresses in one update.
+  servers.begin_update();
+  servers.apply(entry("b", 1));
+  CHECK((has_left("c") && changed("c")));
+  servers.apply(entry("c", 2));
+  CHECK((!has_left("b") && !has_left("c") && servers.address_changes().empty()));
+  // Of two that come at once, the one that started last has the address.
+  servers.begin_update();
+  servers.apply(entry("d", 3, ServerStatus::active, 20)),
+      servers.apply(entry("e", 3, ServerStatus::active, 10));
+  CHECK((!has_left("d") && has_left("e")));
+  // A whole list without the one that has it.
+  servers.begin_update(), servers.begin_full_list();
+  servers.apply(entry("e", 3, ServerStatus::active, 10));
+  servers.finish_full_list();
+  CHECK((has_left("d") && !has_left("e") && changed("e")));
+  servers.forget(servers.find("e"));
+  CHECK(servers.find_at(entry("", 3).address) < 0);
+}
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -363,7 +363,8 @@
   };
   events.on_request = [](std::uint64_t, const rtsp::Message &) {};
   events.on_probe_ended = [](rtsp::EndReason, const rtsp::Message *) {};
-  events.on_data = events.on_connected = [] {};
+  events.on_data = [](double) {};
+  events.on_connected = [] {};
   events.on_disconnected = [](rtsp::EndReason, bool) {};
   events.may_connect = [] { return true; };
   events.has_session = [](std::uint64_t) { return false; };
--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -12,8 +12,10 @@
 // Number of listed servers, in cells of four.
 constexpr int kListedServers = 1600;
 constexpr std::uint32_t kFirstListed = 100;
+constexpr int kFirstPort = 1;
 
-// A scene whose list holds many servers besides two that answer; no process listens at the others' address.
+// A scene whose list holds many servers besides two that answer; nothing is sent to the others, each of which
+// has a port of its own.
 struct ManyServers : PlatformScene {
   static constexpr int kCells = kListedServers / 4;
   static void add_servers(nlohmann::json &config) {
@@ -22,7 +24,7 @@
     nlohmann::json &targets = config["known"]["cmds"][0]["nodes"]["targets"];
     for (int s = 0; s < kListedServers; ++s)
       targets.push_back({{"uid", discovery::format_server_id(kFirstListed + static_cast<std::uint32_t>(s))},
-                         {"endpoint", "127.0.0.1:9"},
+                         {"endpoint", "127.0.0.1:" + std::to_string(kFirstPort + s)},
                          {"az", "hall-a"},
                          {"model", "k"},
                          {"pod_group", 1 + s % (kCells - 1)},
@@ -34,7 +36,7 @@
     until([&] { return !channel.connections.empty(); });
   }
   std::string status_change_frame(std::uint64_t number, unsigned state) {
-    ServerRecord changed{kFirstListed + 7, 9, state, 0, 0, 8, 0};
+    ServerRecord changed{kFirstListed + 7, kFirstPort + 7, state, 0, 0, 8, 0};
     return frame(number, 2, record(changed));
   }
 };
--- a/tests/rtsp/test_rtsp.cpp
+++ b/tests/rtsp/test_rtsp.cpp
@@ -199,7 +199,8 @@
   handlers.on_set_up_ended = [&](std::uint64_t, rtsp::EndReason, const rtsp::Message *, double) { ++events; };
   handlers.on_request = [&](std::uint64_t, const rtsp::Message &) { ++events; };
   handlers.on_probe_ended = [&](rtsp::EndReason, const rtsp::Message *) { ++events; };
-  handlers.on_data = handlers.on_connected = [&] { ++events; };
+  handlers.on_data = [&](double) { ++events; };
+  handlers.on_connected = [&] { ++events; };
   handlers.on_disconnected = [&](rtsp::EndReason, bool) { ++events; };
   handlers.may_connect = [] { return true; };
   handlers.has_session = [](std::uint64_t) { return false; };
@@ -249,7 +250,8 @@
       requests.push_back(message.method);
     };
     handlers.on_probe_ended = [](rtsp::EndReason, const rtsp::Message *) {};
-    handlers.on_data = handlers.on_connected = [] {};
+    handlers.on_data = [](double) {};
+    handlers.on_connected = [] {};
     handlers.on_disconnected = [](rtsp::EndReason, bool) {};
     handlers.may_connect = [] { return true; };
     handlers.has_session = [](std::uint64_t) { return false; };
