A restart that the list does not tell is found out by notes on newer sessions

The new slow case failed before (the older session was never told) and keeps the older session where notes name it now and then.

--- a/src/platform/liveness.cpp
+++ b/src/platform/liveness.cpp
@@ -1,9 +1,17 @@
 #include "platform/liveness.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace snowshore::platform {
 
+namespace {
+
+// Notes that name newer sessions only, by chance, with a smaller probability than this are evidence.
+constexpr double kChanceLimit = 0.05;
+
+} // namespace
+
 void Liveness::data_received(double now) {
   data_received_at_ = now;
   failed_connects_ = 0;
@@ -27,6 +35,17 @@
     connection_lost_at_ = -1;
 }
 
+void Liveness::note_received(double now, double session_started) {
+  session_message_received(now, session_started);
+  if (connection_lost_at_ >= 0) ++newer_notes_;
+}
+
+bool Liveness::notes_exclude_older(std::size_t newer, std::size_t older) const {
+  if (newer == 0 || older == 0) return true;
+  double newer_share = static_cast<double>(newer) / static_cast<double>(newer + older);
+  return std::pow(newer_share, newer_notes_) < kChanceLimit;
+}
+
 // The silence after a loss is evidence only where the server sent messages regularly before. A second loss
 // before the verdict may have taken a message with it, so the silence counts from the second one, as long as
 // the protocol's limit of 8 s allows that.
@@ -36,6 +55,7 @@
   if (connection_lost_at_ < 0) {
     if (now - session_message_at_ > silence_limit) return;
     connection_lost_at_ = silent_since_ = now;
+    newer_notes_ = 0;
   } else if (now - connection_lost_at_ + silence_limit < settings_->max_silence) {
     silent_since_ = now;
   }
--- a/src/platform/liveness.h
+++ b/src/platform/liveness.h
@@ -2,7 +2,7 @@
 // I/O and no clock: each event comes with its time, in seconds. A broken connection proves nothing; a server
 // whose process is gone refuses new connections; a machine that is down or cut off lets none be established.
 #pragma once
-#include <cstdint>
+#include <cstddef>
 
 namespace snowshore::platform {
 
@@ -40,6 +40,12 @@
   // to a set-up counts too. A server that holds such sessions sends one at least every message_interval
   // seconds.
   void session_message_received(double now, double session_started);
+  // The message is a note, which names one of the sessions of this front end that the server holds.
+  void note_received(double now, double session_started);
+  // Whether the notes since the last undecided connection loss show that the server holds none of the older
+  // sessions: none of the notes named one. newer, older: numbers of sessions that were set up since and
+  // before.
+  bool notes_exclude_older(std::size_t newer, std::size_t older) const;
   // The last connection to the server ended, because of a restart or by itself.
   void connection_lost(double now);
   // The verdict on that loss was carried out, or cannot be.
@@ -63,6 +69,8 @@
   double session_message_at_ = -1e9, connection_lost_at_ = -1, silent_since_ = -1;
   // Connection attempts that timed out since data was last received.
   int failed_connects_ = 0;
+  // Notes about sessions that were set up after the undecided connection loss.
+  int newer_notes_ = 0;
   bool refused_again_ = false;
 };
 
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -319,14 +319,15 @@
     return server_lost(server, "silent", counters_.lost_silent);
   case Liveness::Verdict::restarted: {
     double before = slot.liveness.connection_lost_at();
+    auto is_older = [before](const PlayRecord &play) { return play.started_at < before; };
+    auto older = static_cast<std::size_t>(std::ranges::count_if(
+        core_->plays().playing_at(server), [&](int play) { return is_older(core_->plays().at(play)); }));
+    bool is_conclusive = slot.liveness.notes_exclude_older(plays_at(server) - older, older);
+    // More notes may come, within the time that the protocol allows.
+    if (!is_conclusive && now - before < liveness_settings_.max_silence) return;
     slot.liveness.clear_connection_loss();
-    // A note names one session of several: where newer plays exist, missing notes prove nothing about the
-    // older ones.
-    bool has_newer_play = std::ranges::any_of(core_->plays().playing_at(server), [&](int play) {
-      return core_->plays().at(play).started_at >= before;
-    });
-    if (has_newer_play) return;
-    return server_lost(server, "restarted_unseen", counters_.lost_restarted);
+    if (is_conclusive) server_lost(server, "restarted_unseen", counters_.lost_restarted, is_older);
+    return;
   }
   case Liveness::Verdict::alive:
     return;
@@ -488,7 +489,7 @@
   PlayRecord &record = core_->plays().at(play);
   ServerSlot &slot = *server_slot(record.server);
   double now = core_->clock().read_now();
-  slot.liveness.session_message_received(core_->clock().now(), record.started_at);
+  slot.liveness.note_received(core_->clock().now(), record.started_at);
   slot.process.heard(record.held_at, now);
   record.held_at = now;
 }
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -540,6 +540,36 @@
   CHECK_FALSE(PlatformScene::has_received(peer, "FINISH", tag));
 }
 
+TEST_CASE(
+    "servers: sessions of a server that restarts unseen by the list are held while newer ones stand there",
+    "[slow]") {
+  bool restarted = GENERATE(true, false);
+  // Servers send a note each second.
+  PlatformScene scene(1);
+  RawClient &peer = scene.connect_viewer();
+  auto [server, older] = scene.start_play(peer);
+  auto send_note = [&, server = server](const std::string &tag) {
+    RawServer::send(*server->server.connections.back(),
+                    ScriptedServer::request(tag, "ANNOUNCE", {{"X-Outcome", "link"}, {"P-Amount", "0.3"}}));
+  };
+  send_note(older);
+  scene.run(0.2);
+  std::size_t connections = server->server.connections.size();
+  for (auto &connection : server->server.connections) {
+    connection->socket.set_option(asio::socket_base::linger(true, 0));
+    connection->socket.close();
+  }
+  REQUIRE(scene.until([&, server = server] { return server->server.connections.size() > connections; }, 1));
+  std::string newer = scene.start_play(peer).second;
+  // Each note names one of the sessions that the server holds.
+  for (int i = 0; i < 14; ++i) {
+    send_note(restarted || i % 2 == 0 ? newer : older);
+    scene.run(0.5);
+  }
+  CHECK(PlatformScene::has_received(peer, "FINISH", older) == restarted);
+  CHECK_FALSE(PlatformScene::has_received(peer, "FINISH", newer));
+}
+
 TEST_CASE("drain: a connection opened only to receive takes a server's release that is lost at the exit") {
   PlatformScene scene(1);
   auto [server, tag] = scene.start_play(scene.connect_viewer());
