An id that a server has had does not run again when it comes again

Cause: the front end forgot an id with its request. Now the last 8,192 ids that were sent to a server are remembered (RecentIds); one that comes again is answered as failed, counted (used_ids) and logged. A request repeated while it is in hand is answered on the new connection, as before. The new case fails without the two checks (the first answer never comes: its set-up goes out again).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -169,6 +169,7 @@
                  {"announced_later", viewer_counts.announced_later},
                  {"announced_again", viewer_counts.announced_again},
                  {"moved_over", viewer_counts.moved_over},
+                 {"used_ids", viewer_counts.used_ids},
                  {"tests", viewer_counts.tests},
                  {"accepted", line_counts.accepted},
                  {"silent_cut", line_counts.silent_cut},
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -1,5 +1,6 @@
 #include "platform/viewer_gateway.h"
 #include "platform/outcome_mapping.h"
+#include "settings/hex_id.h"
 #include "settings/translation.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 // Where a connection ends within this time of a line's sending, in seconds, the viewer may not have received
 // the line.
 constexpr double kUnconfirmedWindow = 1;
+// Ids that are remembered after their requests.
+constexpr std::size_t kMaxUsedIds = 8192;
 // Size of a set-up request to a server without the description.
 constexpr std::size_t kSetUpHeaderBytes = 1024;
 
@@ -36,7 +39,7 @@
 } // namespace
 
 ViewerGateway::ViewerGateway(asio::io_context &io, const NodeConfig &config, telemetry::Log &log)
-    : io_(io), config_(config), log_(log) {}
+    : io_(io), config_(config), log_(log), used_ids_(kMaxUsedIds) {}
 
 jsonlines::Limits ViewerGateway::limits() const {
   jsonlines::Limits limits;
@@ -140,6 +143,8 @@
   if (play >= 0) {
     // The play was handed over before.
     if (!handover_server.empty()) return;
+    // Its earlier viewer has left, and the set-up may have run.
+    if (core_->plays().at(play).state == edge::PlayState::abandoned) return fail_used_id(from, message.tag);
     // A viewer whose connection broke repeats its request on a new one; the answer goes there. Any other
     // request with this tag uses the id of another play.
     PendingPlay &pending = pending_play(play);
@@ -153,6 +158,7 @@
     return server_->add_open_requests(from, 1);
   }
   if (!request) return refuse_request(from, message.tag, why);
+  if (used_ids_.contains(message.tag)) return fail_used_id(from, message.tag);
   const std::string &title = *message.find_option("key");
   if (!handover_server.empty()) {
     ++counters_.handed_over;
@@ -183,6 +189,13 @@
   send_deferred_lines();
 }
 
+void ViewerGateway::fail_used_id(Connection from, std::uint64_t tag) {
+  ++counters_.used_ids;
+  if (log_.is_enabled(telemetry::LogLevel::info))
+    log_.info("used_id", {{"session", settings::format_hex16(tag)}, {"connection", from}});
+  server_->send(from, jsonlines::write_finish(tag, kCauseFailed));
+}
+
 void ViewerGateway::handle_finish(Connection from, const jsonlines::Message &message) {
   int play = core_->plays().find(message.tag);
   // The play is over or unknown. The request is confirmed; a connection without any valid request is closed.
@@ -327,6 +340,7 @@
   // Clears the request of a viewer that has left.
   send_answer(play, {});
   pending_play(play) = {};
+  if (core_->plays().at(play).allocation >= 0) used_ids_.add(tag(play));
 }
 
 } // namespace snowshore::platform
--- a/src/platform/viewer_gateway.h
+++ b/src/platform/viewer_gateway.h
@@ -4,6 +4,7 @@
 #include "edge/core.h"
 #include "jsonlines/server.h"
 #include "platform/node_config.h"
+#include "platform/recent_ids.h"
 
 #include <deque>
 #include <memory>
@@ -17,7 +18,7 @@
   struct Counters {
     std::uint64_t set_ups = 0, handed_over = 0, left = 0, released = 0, repeated = 0, refused_bad = 0,
                   unreadable = 0, unknown_plays = 0, tests = 0, no_room = 0, announced_later = 0,
-                  announced_again = 0, moved_over = 0;
+                  announced_again = 0, moved_over = 0, used_ids = 0;
   };
   // Binds the address, and accepts connections from listen() on. Throws std::system_error.
   ViewerGateway(asio::io_context &io, const NodeConfig &config, telemetry::Log &log);
@@ -86,6 +87,8 @@
   void on_closed(Connection connection, const char *why);
   // Handles START: a new play, a repeated request, or the handover of a running play.
   void handle_start(Connection from, const jsonlines::Message &message);
+  // Answers a request under the id of one that a server has had.
+  void fail_used_id(Connection from, std::uint64_t tag);
   // Handles FINISH: the viewer gives up its request or ends its play.
   void handle_finish(Connection from, const jsonlines::Message &message);
   // Returns the request, or nothing with the reason in `why`. already_running: the viewer hands over
@@ -117,6 +120,8 @@
   std::deque<UnconfirmedEnd> unconfirmed_ends_;
   // Bytes of the descriptions in pending_plays_.
   std::size_t description_bytes_ = 0;
+  // Ids of requests that were sent to a server and are over; one that comes again would run twice.
+  RecentIds used_ids_;
   // When the first test of this run was passed.
   std::optional<double> first_test_at_;
   Counters counters_;
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -162,6 +162,41 @@
   }
 }
 
+TEST_CASE("platform: an id runs twice where it comes again after its viewer has left or was answered") {
+  PlatformScene scene(2);
+  auto ask_again = [&](const std::string &tag) {
+    RawClient &again = scene.connect_viewer();
+    again.send(PlatformScene::start_line(tag));
+    CHECK(scene.until([&] { return PlatformScene::has_received(again, "FINISH", tag); }, 1));
+    return scene.set_up_count();
+  };
+  // The viewer closes its connection while a server has the set-up.
+  for (auto &server : scene.servers) server->behavior = "silent";
+  std::string left = scene.next_tag();
+  RawClient &first = scene.connect_viewer();
+  first.send(PlatformScene::start_line(left));
+  REQUIRE(scene.until([&] { return scene.set_up_count() == 1; }));
+  first.socket.close();
+  REQUIRE(scene.until([&] { return scene.front->viewers().counters().left == 1; }));
+  CHECK(ask_again(left) == 1);
+  // Later, when the front end holds the request no more.
+  scene.run(0.1);
+  CHECK(ask_again(left) == 1);
+  // The session was served and has ended.
+  for (auto &server : scene.servers) server->behavior = "play";
+  auto [server, served] = scene.start_play(scene.connect_viewer());
+  RawServer::send(*server->set_ups.back().connection,
+                  ScriptedServer::request(served, "TEARDOWN", {{"Reason", "cause=16"}}));
+  REQUIRE(scene.until([&] { return scene.open_plays() == 0; }));
+  CHECK(ask_again(served) == 2);
+  // A hand-over of a session that has ended here is answered by its end.
+  RawClient &late = scene.connect_viewer();
+  late.send(PlatformScene::start_line(served, ";at:s-00000001", "7f3a9c21e0b4d655", "4294967"));
+  CHECK(scene.until([&, tag = served] { return PlatformScene::has_received(late, "FINISH", tag); }, 1));
+  CHECK(scene.open_plays() == 0);
+  CHECK(scene.front->viewers().counters().used_ids == 4);
+}
+
 TEST_CASE("platform: an invalid line gets a refusal or closes the connection, and causes no set-up") {
   std::string good = PlatformScene::start_line("00000000000000a1");
   auto with = [&](const std::string &from, const std::string &to) {
