Requests unread when their client closes its connection are not sent on

Cause: the end of a connection was noticed only behind its last line. Now a connection with more lines than one turn takes is asked for its end first, and set-ups behind it are dropped and counted (left_unread); what ends a session is still read. Found by the new case: a failed write ended the connection at once and discarded lines that had been received, a client's release among them; reading ends it now, and nothing more is sent on it. Ends that wait for a connection are kept where it cannot take them, can be sent again, and are counted where they are dropped (announcements_dropped).

--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -2,6 +2,8 @@
 #include "jsonlines/server.h"
 #include "telemetry/loop_clock.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <chrono>
 
@@ -19,6 +21,12 @@
 // may already be on its way and would be lost.
 constexpr double kRecentlyActive = 0.05;
 
+// Returns whether the other side has closed or reset the connection, also where bytes are still unread.
+bool has_hung_up(asio::ip::tcp::socket &socket) {
+  pollfd poll_entry{socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&poll_entry, 1, 0) > 0;
+}
+
 } // namespace
 
 struct Server::Connection {
@@ -32,7 +40,9 @@
   std::string unsent, sending;
   int open_requests = 0;
   // close_when_idle: the connection is closed when no request is open on it.
-  bool trusted = false, close_when_idle = false;
+  // peer_closed: the viewer has closed its side, though not all of its bytes may have been read.
+  // write_failed: nothing can be sent any more; what was received is still handled.
+  bool trusted = false, close_when_idle = false, peer_closed = false, write_failed = false;
   // Steady-clock seconds. awaiting_since: since when a complete line is awaited; negative when none is.
   double awaiting_since = 0, received_at = 0;
   explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
@@ -238,6 +248,7 @@
     asio::post(io_, [this, connection, alive = std::weak_ptr<bool>(alive_)] {
       if (alive.expired() || connection->state == State::closed) return;
       std::string deferred = std::exchange(connection->deferred_input, {});
+      connection->peer_closed = connection->peer_closed || has_hung_up(connection->socket);
       handle_input(connection, deferred);
     });
     return;
@@ -249,7 +260,7 @@
 
 bool Server::send(ConnectionId id, std::string line) {
   auto it = connections_.find(id);
-  if (it == connections_.end()) return false;
+  if (it == connections_.end() || it->second->write_failed) return false;
   auto connection = it->second;
   ++counters_.lines_sent;
   connection->unsent += line;
@@ -270,8 +281,13 @@
       connection->socket, asio::buffer(connection->sending),
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t) {
         if (alive.expired() || connection->state == State::closed) return;
-        if (error) return close(*connection, "write");
         connection->sending.clear();
+        if (error) {
+          // What the viewer sent before is handled first; reading then ends the connection.
+          connection->peer_closed = connection->write_failed = true;
+          connection->unsent.clear();
+          return;
+        }
         if (!connection->unsent.empty()) return write(connection);
         if (connection->state == State::closing) close(*connection, "refused");
       });
@@ -300,6 +316,11 @@
   return it != connections_.end() && (it->second->close_when_idle || it->second->state == State::closing);
 }
 
+bool Server::is_peer_closed(ConnectionId id) const {
+  auto it = connections_.find(id);
+  return it != connections_.end() && it->second->peer_closed;
+}
+
 int Server::open_requests(ConnectionId id) const {
   auto it = connections_.find(id);
   return it == connections_.end() ? 0 : it->second->open_requests;
@@ -311,10 +332,12 @@
 }
 
 std::optional<Server::ConnectionId> Server::latest_trusted() const {
-  if (connections_.contains(latest_trusted_)) return latest_trusted_;
+  if (auto latest = connections_.find(latest_trusted_);
+      latest != connections_.end() && !latest->second->write_failed)
+    return latest_trusted_;
   const Connection *best = nullptr;
   for (const auto &[id, connection] : connections_) {
-    if (connection->trusted && connection->state == State::active &&
+    if (connection->trusted && connection->state == State::active && !connection->write_failed &&
         (!best || connection->received_at > best->received_at))
       best = connection.get();
   }
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -82,6 +82,9 @@
   void close_after_open_requests(ConnectionId id);
   // Returns whether the connection is being closed, so that no new request may be accepted from it.
   bool is_closing(ConnectionId id) const;
+  // Returns whether the viewer is known to have closed its side. Known while lines that it sent before are
+  // still being read, where those are too many for one turn.
+  bool is_peer_closed(ConnectionId id) const;
   // Closes the connection; on_closed is raised during the call.
   void close_now(ConnectionId id);
   // Stops reading and closes the connection after the current event handler has returned.
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -159,6 +159,11 @@
   }
   if (!request) return refuse_request(from, message.tag, why);
   if (used_ids_.contains(message.tag)) return fail_used_id(from, message.tag);
+  // Its viewer has left before the request could be read; nobody waits for an answer.
+  if (handover_server.empty() && server_->is_peer_closed(from)) {
+    ++counters_.left_unread;
+    return;
+  }
   const std::string &title = *message.find_option("key");
   if (!handover_server.empty()) {
     ++counters_.handed_over;
@@ -311,28 +316,37 @@
 }
 
 void ViewerGateway::announce(Connection to, std::uint64_t tag, std::string line) {
+  for (auto connection : {std::optional(to), server_->latest_trusted()}) {
+    if (connection && send_unconfirmed(*connection, tag, line)) return;
+  }
+  ++counters_.announced_later;
+  if (deferred_lines_.size() >= kMaxDeferredLines) {
+    ++counters_.announcements_dropped;
+    deferred_lines_.pop_front();
+  }
+  deferred_lines_.push_back({tag, std::move(line), core_->clock().now() + settings::kReleaseTimeLimit});
+}
+
+bool ViewerGateway::send_unconfirmed(Connection to, std::uint64_t tag, const std::string &line) {
+  if (!server_->send(to, line)) return false;
   double now = core_->clock().now();
   while (!unconfirmed_ends_.empty() && (unconfirmed_ends_.front().sent_at < now - kUnconfirmedWindow ||
                                         unconfirmed_ends_.size() >= kMaxUnconfirmedEnds))
     unconfirmed_ends_.pop_front();
-  auto latest_trusted = server_->latest_trusted();
-  for (auto connection : {std::optional(to), latest_trusted}) {
-    if (!connection || !server_->send(*connection, line)) continue;
-    unconfirmed_ends_.push_back({*connection, tag, std::move(line), now});
-    return;
-  }
-  ++counters_.announced_later;
-  if (deferred_lines_.size() >= kMaxDeferredLines) deferred_lines_.pop_front();
-  deferred_lines_.push_back({std::move(line), now + settings::kReleaseTimeLimit});
+  unconfirmed_ends_.push_back({to, tag, line, now});
+  return true;
 }
 
 void ViewerGateway::send_deferred_lines() {
   while (!deferred_lines_.empty()) {
-    auto to = server_->latest_trusted();
-    if (!to) return;
-    DeferredLine next = std::move(deferred_lines_.front());
+    const DeferredLine &next = deferred_lines_.front();
+    if (next.expires_at < core_->clock().now()) {
+      ++counters_.announcements_dropped;
+    } else {
+      auto to = server_->latest_trusted();
+      if (!to || !send_unconfirmed(*to, next.tag, next.line)) return;
+    }
     deferred_lines_.pop_front();
-    if (next.expires_at >= core_->clock().now()) server_->send(*to, std::move(next.line));
   }
 }
 
--- a/src/platform/viewer_gateway.h
+++ b/src/platform/viewer_gateway.h
@@ -18,7 +18,8 @@
   struct Counters {
     std::uint64_t set_ups = 0, handed_over = 0, left = 0, released = 0, repeated = 0, refused_bad = 0,
                   unreadable = 0, unknown_plays = 0, tests = 0, no_room = 0, announced_later = 0,
-                  announced_again = 0, moved_over = 0, used_ids = 0;
+                  announced_again = 0, moved_over = 0, used_ids = 0, left_unread = 0,
+                  announcements_dropped = 0;
   };
   // Binds the address, and accepts connections from listen() on. Throws std::system_error.
   ViewerGateway(asio::io_context &io, const NodeConfig &config, telemetry::Log &log);
@@ -67,6 +68,7 @@
   };
   // A line that waits for a connection.
   struct DeferredLine {
+    std::uint64_t tag;
     std::string line;
     double expires_at;
   };
@@ -107,6 +109,9 @@
   // trusted one that there is.
   void announce(int play, std::string line);
   void announce(Connection to, std::uint64_t tag, std::string line);
+  // Sends the line, and keeps it for a while in case the connection ends before it arrives. Returns false
+  // where the connection cannot carry it.
+  bool send_unconfirmed(Connection to, std::uint64_t tag, const std::string &line);
   void send_deferred_lines();
 
   asio::io_context &io_;
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -197,6 +197,27 @@
   CHECK(scene.front->viewers().counters().used_ids == 4);
 }
 
+TEST_CASE("platform: requests that are unread when their viewer closes its connection are sent on") {
+  PlatformScene scene(2);
+  RawClient &viewer = scene.connect_viewer();
+  auto [server, standing] = scene.start_play(viewer);
+  for (auto &one : scene.servers) one->behavior = "silent";
+  RawClient &leaving = scene.connect_viewer();
+  std::string lines;
+  // All of it fits the front end's first read.
+  for (int i = 0; i < 80; ++i) lines += PlatformScene::start_line(scene.next_tag());
+  // What ends a session is read although its viewer has gone.
+  leaving.send(lines + PlatformScene::finish_line(standing));
+  leaving.socket.close();
+  REQUIRE(
+      scene.until([&] { return scene.open_plays() == 0 && scene.front->viewers().connections() == 1; }, 2));
+  // The front end learns of the close after the first turn of 16 lines.
+  CHECK(scene.front->viewers().counters().left_unread == 64);
+  CHECK(scene.set_up_count() <= 17);
+  CHECK(
+      scene.until([&, s = server, tag = standing] { return std::ranges::count(s->released, tag) == 1; }, 1));
+}
+
 TEST_CASE("platform: an invalid line gets a refusal or closes the connection, and causes no set-up") {
   std::string good = PlatformScene::start_line("00000000000000a1");
   auto with = [&](const std::string &from, const std::string &to) {
