A client's release that comes before its session's hand-over takes effect

Cause: a release of an unknown session was confirmed and forgotten. The new case fails without it: nothing reaches the server, the play stands.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -171,6 +171,7 @@
                  {"announcements_dropped", viewer_counts.announcements_dropped},
                  {"announced_again", viewer_counts.announced_again},
                  {"moved_over", viewer_counts.moved_over},
+                 {"early_finishes", viewer_counts.early_finishes},
                  {"used_ids", viewer_counts.used_ids},
                  {"tests", viewer_counts.tests},
                  {"accepted", line_counts.accepted},
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxDeferredLines = 4096, kMaxUnconfirmedEnds = 256;
+constexpr std::size_t kMaxDeferredLines = 4096, kMaxUnconfirmedEnds = 256, kMaxEarlyFinishes = 1024;
 // Where a connection ends within this time of a line's sending, in seconds, the viewer may not have received
 // the line.
 constexpr double kUnconfirmedWindow = 1;
@@ -177,6 +177,7 @@
     }
     pending_play(ref->index) = {from, {}, false};
     server_->mark_trusted(from);
+    apply_early_finish(*ref);
     return;
   }
   if (stopped_accepting_ || server_->is_closing(from) || !core_->has_list() ||
@@ -206,6 +207,8 @@
   // The play is over or unknown. The request is confirmed; a connection without any valid request is closed.
   if (play < 0) {
     ++counters_.unknown_plays;
+    if (early_finishes_.size() >= kMaxEarlyFinishes) early_finishes_.pop_front();
+    early_finishes_.push_back({message.tag, core_->clock().now()});
     server_->send(from, jsonlines::write_finished(message.tag));
     if (server_->open_requests(from) == 0 && !server_->is_trusted(from)) server_->close_after_sending(from);
     return;
@@ -222,6 +225,16 @@
   core_->play_released(play);
 }
 
+void ViewerGateway::apply_early_finish(const edge::PlayRef &ref) {
+  double oldest_kept = core_->clock().now() - settings::kReleaseTimeLimit;
+  while (!early_finishes_.empty() && early_finishes_.front().at < oldest_kept) early_finishes_.pop_front();
+  auto early = std::ranges::find(early_finishes_, tag(ref.index), &EarlyFinish::tag);
+  if (early == early_finishes_.end()) return;
+  early_finishes_.erase(early);
+  ++counters_.early_finishes;
+  core_->play_released(ref.index);
+}
+
 void ViewerGateway::on_closed(Connection connection, const char *why) {
   // Requests that have no answer yet end with their connection.
   std::vector<int> open_plays;
--- a/src/platform/viewer_gateway.h
+++ b/src/platform/viewer_gateway.h
@@ -19,7 +19,7 @@
     std::uint64_t set_ups = 0, handed_over = 0, left = 0, released = 0, repeated = 0, refused_bad = 0,
                   unreadable = 0, unknown_plays = 0, tests = 0, no_room = 0, announced_later = 0,
                   announced_again = 0, moved_over = 0, used_ids = 0, left_unread = 0,
-                  announcements_dropped = 0;
+                  announcements_dropped = 0, early_finishes = 0;
   };
   // Binds the address, and accepts connections from listen() on. Throws std::system_error.
   ViewerGateway(asio::io_context &io, const NodeConfig &config, telemetry::Log &log);
@@ -79,6 +79,12 @@
     std::string line;
     double sent_at;
   };
+  // A viewer's release of a session that this front end does not hold. It may be on its way to be handed over
+  // on another connection.
+  struct EarlyFinish {
+    std::uint64_t tag;
+    double at;
+  };
   PendingPlay &pending_play(int play) {
     if (static_cast<std::size_t>(play) >= pending_plays_.size())
       pending_plays_.resize(static_cast<std::size_t>(play) + 1);
@@ -89,6 +95,8 @@
   void on_closed(Connection connection, const char *why);
   // Handles START: a new play, a repeated request, or the handover of a running play.
   void handle_start(Connection from, const jsonlines::Message &message);
+  // Ends the play that was just handed over where its viewer has released it before.
+  void apply_early_finish(const edge::PlayRef &ref);
   // Answers a request under the id of one that a server has had.
   void fail_used_id(Connection from, std::uint64_t tag);
   // Handles FINISH: the viewer gives up its request or ends its play.
@@ -123,6 +131,7 @@
   std::vector<PendingPlay> pending_plays_;
   std::deque<DeferredLine> deferred_lines_;
   std::deque<UnconfirmedEnd> unconfirmed_ends_;
+  std::deque<EarlyFinish> early_finishes_;
   // Bytes of the descriptions in pending_plays_.
   std::size_t description_bytes_ = 0;
   // Ids of requests that were sent to a server and are over; one that comes again would run twice.
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -333,6 +333,19 @@
   }
 }
 
+TEST_CASE(
+    "handover: a viewer's release that arrives before the handover of its play is confirmed without effect") {
+  PlatformScene scene(1);
+  RawClient &viewer = scene.connect_viewer(), &releasing = scene.connect_viewer();
+  std::string tag = scene.next_tag();
+  releasing.send(PlatformScene::finish_line(tag));
+  REQUIRE(scene.until([&] { return PlatformScene::has_received(releasing, "FINISHED", tag); }, 1));
+  viewer.send(PlatformScene::start_line(tag, ";at:s-00000001", "7f3a9c21e0b4d655", "4294967"));
+  auto released = [&] { return std::ranges::count(scene.servers[0]->released, tag) == 1; };
+  CHECK(scene.until(released, 1));
+  CHECK(scene.open_plays() == 0);
+}
+
 TEST_CASE("servers: a release that its server may not have received is sent again on another connection") {
   PlatformScene scene(1);
   RawClient &viewer = scene.connect_viewer();
