Changes of the list that come faster than they are applied wait at discovery

Seen: a stand-in that tells changes at full speed grew the process from 22 to 94 MB in 6 s (limit 32 MB; debug build, arm64). Cause: what was read was queued without bound, at 16 KB a read against 128 servers a turn. Now the source is paused while more than 4,096 servers' changes wait (ListSource::set_paused), so that the rest waits in the connection; its silence is not counted meanwhile.

--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -24,6 +24,7 @@
 add_test(NAME many-servers.removed COMMAND snowshore_many_servers_tests "many servers: a removed*")
 add_test(NAME many-servers.unread COMMAND snowshore_many_servers_tests "many servers: a connection goes*")
 add_test(NAME many-servers.connections COMMAND snowshore_many_servers_tests "many servers: more of them*")
+add_test(NAME many-servers.queued COMMAND snowshore_many_servers_tests "many servers: changes that come faster*")
 add_test(NAME many-servers.crossing COMMAND snowshore_many_servers_tests "many servers: a connection that makes room*")
 # A new process at the address of another, likewise.
 add_executable(snowshore_address_reuse_tests tests/test_main.cpp tests/platform/test_address_reuse.cpp)
--- a/src/discovery/client.cpp
+++ b/src/discovery/client.cpp
@@ -52,6 +52,13 @@
   });
 }
 
+void Client::set_paused(bool paused) {
+  if (std::exchange(paused_, paused) == paused || paused || state_ != State::connected) return;
+  // What arrived meanwhile is unread, so that the silence counts from now on.
+  data_received_at_ = steady_seconds();
+  if (!reading_) read();
+}
+
 void Client::set_endpoint(const asio::ip::tcp::endpoint &endpoint) {
   if (endpoint == endpoint_) return;
   endpoint_ = endpoint;
@@ -62,6 +69,7 @@
 void Client::connect() {
   ++connection_serial_;
   ++counters_.connects;
+  reading_ = false;
   asio::error_code ignored;
   socket_.close(ignored);
   socket_ = asio::ip::tcp::socket(io_);
@@ -91,6 +99,8 @@
 }
 
 void Client::read() {
+  reading_ = !paused_;
+  if (paused_) return;
   socket_.async_read_some(asio::buffer(buffer_),
                           [this, serial = connection_serial_,
                            alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t size) {
@@ -171,7 +181,7 @@
   check_timer_.expires_after(to_timer_duration(kCheckInterval));
   check_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
-    if (state_ == State::connected && steady_seconds() - data_received_at_ > kSilenceTimeout) {
+    if (state_ == State::connected && !paused_ && steady_seconds() - data_received_at_ > kSilenceTimeout) {
       ++counters_.silences;
       disconnected("silent");
     } else if (state_ == State::connecting && steady_seconds() - connect_started_at_ > kConnectTimeout) {
--- a/src/discovery/client.h
+++ b/src/discovery/client.h
@@ -29,6 +29,7 @@
   void start(Events events) override;
   // Reconnects; the channel then sends all later events.
   void request_list() override;
+  void set_paused(bool paused) override;
   // Connects to another address, where it differs from the present one.
   void set_endpoint(const asio::ip::tcp::endpoint &endpoint);
   const Counters &counters() const { return counters_; }
@@ -72,6 +73,8 @@
   std::vector<edge::ListedServer> changed_servers_;
   // changed_: these events changed the list. is_full_list_: they replaced it. gap_: events are missing.
   bool changed_ = false, is_full_list_ = false, gap_ = false;
+  // paused_: the core has yet to apply what it was given. reading_: a read is pending.
+  bool paused_ = false, reading_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -24,6 +24,8 @@
 constexpr double kLongCall = 0.005;
 // Servers of a list update that are applied before the executor runs other handlers.
 constexpr std::size_t kServersPerSlice = 128;
+// Servers whose updates may wait before the list source is paused.
+constexpr std::size_t kMaxQueuedServers = 4096;
 
 } // namespace
 
@@ -510,8 +512,15 @@
 // ---- The server list.
 
 void Core::queue_update(ServerList list, bool is_full) {
+  queued_servers_ += list.servers.size();
   updates_.push_back({std::move(list), is_full});
   if (!applying_) apply_updates();
+  control_list_source();
+}
+
+void Core::control_list_source() {
+  if (queued_servers_ > kMaxQueuedServers) list_source_->set_paused(true);
+  if (updates_.empty()) list_source_->set_paused(false);
 }
 
 // A long list is applied in slices, each in a handler of its own, so that it does not delay answers.
@@ -527,7 +536,7 @@
   }
   if (updates_.empty()) {
     applying_ = false;
-    return;
+    return control_list_source();
   }
   asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired()) apply_updates();
@@ -549,6 +558,7 @@
   };
   const std::vector<ListedServer> &listed_servers = update.list.servers;
   std::size_t end = std::min(listed_servers.size(), update.next + kServersPerSlice);
+  queued_servers_ -= end - update.next;
   for (; update.next < end; ++update.next) {
     update_server(servers_.apply(listed_servers[update.next]));
     for (int server : servers_.address_changes()) update_server(server);
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -84,6 +84,8 @@
   bool has_list() const { return has_list_; }
   // Number of servers that the core has looked at for changes of the list.
   std::uint64_t list_entries_scanned() const { return servers_.entries_scanned(); }
+  // Number of servers in changes of the list that wait to be applied.
+  std::size_t queued_servers() const { return queued_servers_; }
   // Durations of engine calls and list updates, which block the executor while they run.
   struct CallDurations {
     // long_calls took longer than kLongCall.
@@ -213,6 +215,8 @@
   };
   // Queues a list or change, and starts to apply it where no update is in progress.
   void queue_update(ServerList list, bool is_full);
+  // Pauses the list source while many servers' updates wait, and resumes it.
+  void control_list_source();
   // Applies the next slice, and posts itself until no update is left.
   void apply_updates();
   // Returns true once the update is applied in full.
@@ -248,6 +252,8 @@
   SendGuard send_guard_;
   registry::ServerRegistry servers_;
   std::deque<ListUpdate> updates_;
+  // Servers of updates_ that were not applied yet.
+  std::size_t queued_servers_ = 0;
   RefCountedIdTable<std::string> titles_;
   IdTable<std::string> halls_, kinds_;
   CallDurations call_durations_;
--- a/src/edge/list_source.h
+++ b/src/edge/list_source.h
@@ -44,6 +44,9 @@
   virtual void start(Events events) = 0;
   // Requests the whole list; the result comes as an event.
   virtual void request_list() = 0;
+  // While paused, the source takes in no more than what it has begun, since what it gave has yet to be
+  // applied.
+  virtual void set_paused(bool) {}
   // Returns whether the source polls because it cannot watch for changes.
   virtual bool is_polling() const { return false; }
 };
--- a/tests/platform/test_many_servers.cpp
+++ b/tests/platform/test_many_servers.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace snowshore;
 using namespace snowshore::testing;
 
@@ -200,3 +202,28 @@
   CHECK(scene.has_started(next));
   CHECK(scene.is_first_ended());
 }
+
+TEST_CASE("many servers: changes that come faster than they are applied are queued without bound", "[many]") {
+  PlatformScene scene(1);
+  REQUIRE(scene.until([&] { return scene.channel.connections.size() == 1; }));
+  std::string frames;
+  std::uint64_t last = 1;
+  for (int f = 0; f < 150; ++f) {
+    std::string records;
+    for (std::uint32_t s = 0; s < 400; ++s)
+      records += record({kFirstListed + s, kFirstPort + s, 0, 0, 0, 0, static_cast<std::uint64_t>(f)});
+    frames += frame(++last, 2, records);
+  }
+  // Written from another thread, since the front end stops reading.
+  std::thread writer([&] { scene.send_on_channel(frames); });
+  std::size_t most = 0;
+  CHECK(scene.until(
+      [&] {
+        most = std::max(most, scene.front->core().queued_servers());
+        return scene.front->core().list_version() == last;
+      },
+      20));
+  writer.join();
+  // The limit and what one read brings.
+  CHECK(most < 6000);
+}
