Buffers of all viewers' connections share one limit, and turns shrink under a flood

Seen with 500 connections, memory_mb 32, a debug build on arm64 (22 MB at rest), 6 s each: half lines of 15 KB 30 MB; floods of tests 38 MB; requests by clients that never read 36 to 42 MB, other clients' answers 0.9 ms to never (4 of 15 lost). Causes: each connection could hold 32 KB unsent, 32 KB read and not handled and a line of 16 KB; a round of 500 connections took 16 lines of each. Now all connections share memory_mb/16 (buffered_bytes; the ones that hold most are closed, buffer_cut), a read is 8 KB, and where many connections have more lines than a turn takes, turns shrink to one line. The two new cases fail without (900 KB held of 200 allowed; 1,504 lines before another client's, 500 allowed).

--- a/src/jsonlines/message.h
+++ b/src/jsonlines/message.h
@@ -80,6 +80,7 @@
     return true;
   }
   bool has_partial_line() const { return !partial_.empty(); }
+  std::size_t partial_bytes() const { return partial_.size(); }
 
  private:
   std::string partial_;
--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -17,6 +17,8 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 constexpr auto kTimeoutCheckInterval = std::chrono::milliseconds(100);
 constexpr std::size_t kAcceptsPerTurn = 32;
+// So many connections with more lines than a turn halve the turns.
+constexpr std::size_t kFullTurns = 4;
 // Seconds. A connection that was heard from more recently is not closed to make room, since another request
 // may already be on its way and would be lost.
 constexpr double kRecentlyActive = 0.05;
@@ -38,6 +40,8 @@
   std::string deferred_input;
   // sending: the bytes of the write in progress. unsent: the bytes that wait for it.
   std::string unsent, sending;
+  // The part of Server::buffered_bytes_.
+  std::size_t buffered = 0;
   int open_requests = 0;
   // close_when_idle: the connection is closed when no request is open on it.
   // peer_closed: the viewer has closed its side, though not all of its bytes may have been read.
@@ -46,6 +50,9 @@
   // Steady-clock seconds. awaiting_since: since when a complete line is awaited; negative when none is.
   double awaiting_since = 0, received_at = 0;
   explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
+  std::size_t held_bytes() const {
+    return lines.partial_bytes() + deferred_input.size() + unsent.size() + sending.size();
+  }
 };
 
 Server::Server(asio::io_context &io, const asio::ip::tcp::endpoint &at, Limits limits, Events events)
@@ -222,9 +229,13 @@
       });
 }
 
+std::size_t Server::lines_per_turn() const {
+  return std::max<std::size_t>(1, limits_.lines_per_turn * kFullTurns / (kFullTurns + deferred_connections_));
+}
+
 void Server::handle_input(const std::shared_ptr<Connection> &connection, std::string_view bytes) {
   if (connection->state == State::closing) return read(connection); // further input is discarded
-  std::size_t lines_left = limits_.lines_per_turn, consumed = 0;
+  std::size_t lines_left = lines_per_turn(), consumed = 0;
   bool read_all = connection->lines.feed(bytes, [&](std::string_view line) {
     // `line` may point into the reader instead of `bytes`, so the consumed length is found by searching
     // `bytes` for line ends.
@@ -245,8 +256,12 @@
   // The turn is used up: the rest waits until the other connections have been served.
   if (lines_left == 0 && consumed < bytes.size()) {
     connection->deferred_input.assign(bytes.substr(consumed));
+    count_buffered(*connection);
+    ++deferred_connections_;
     asio::post(io_, [this, connection, alive = std::weak_ptr<bool>(alive_)] {
-      if (alive.expired() || connection->state == State::closed) return;
+      if (alive.expired()) return;
+      --deferred_connections_;
+      if (connection->state == State::closed) return;
       std::string deferred = std::exchange(connection->deferred_input, {});
       connection->peer_closed = connection->peer_closed || has_hung_up(connection->socket);
       handle_input(connection, deferred);
@@ -255,6 +270,7 @@
   }
   if (connection->awaiting_since < 0 && connection->lines.has_partial_line())
     connection->awaiting_since = steady_seconds();
+  count_buffered(*connection);
   read(connection);
 }
 
@@ -272,9 +288,30 @@
     return false;
   }
   if (connection->sending.empty()) write(connection);
+  count_buffered(*connection);
   return true;
 }
 
+void Server::count_buffered(Connection &connection) {
+  if (connection.state == State::closed) return;
+  std::size_t held = connection.held_bytes();
+  buffered_bytes_ += held - std::exchange(connection.buffered, held);
+  if (buffered_bytes_ <= limits_.buffered_bytes || std::exchange(freeing_, true)) return;
+  asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) free_buffers();
+  });
+}
+
+void Server::free_buffers() {
+  freeing_ = false;
+  while (buffered_bytes_ > limits_.buffered_bytes) {
+    auto largest =
+        std::ranges::max_element(connections_, {}, [](const auto &entry) { return entry.second->buffered; });
+    ++counters_.buffer_cut;
+    close_now(largest->first);
+  }
+}
+
 void Server::write(const std::shared_ptr<Connection> &connection) {
   connection->sending = std::exchange(connection->unsent, {});
   asio::async_write(
@@ -282,10 +319,12 @@
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t) {
         if (alive.expired() || connection->state == State::closed) return;
         connection->sending.clear();
+        count_buffered(*connection);
         if (error) {
           // What the viewer sent before is handled first; reading then ends the connection.
           connection->peer_closed = connection->write_failed = true;
           connection->unsent.clear();
+          count_buffered(*connection);
           return;
         }
         if (!connection->unsent.empty()) return write(connection);
@@ -374,6 +413,7 @@
 void Server::close(Connection &connection, const char *why) {
   if (connection.state == State::closed) return;
   set_state(connection, State::closed);
+  buffered_bytes_ -= std::exchange(connection.buffered, 0);
   asio::error_code ignored;
   connection.socket.close(ignored);
   ConnectionId id = connection.id;
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -20,7 +20,12 @@
   std::size_t connections = 64;
   // A viewer that does not read is disconnected when more than this waits to be sent to it.
   std::size_t unsent_bytes = 256 * 1024;
-  // The number of lines that are handled from one connection before the other connections are served.
+  // Bytes that all connections together may hold: received and not handled yet, or not sent yet. Where they
+  // hold more, the connections that hold most are closed.
+  std::size_t buffered_bytes = 64 * 1024 * 1024;
+  // The number of lines that are handled from one connection before the other connections are served. Where
+  // many connections have more lines than that, each gets fewer in a turn, one at least, so that a round
+  // stays short.
   std::size_t lines_per_turn = 16;
   // Seconds. A connection must send its first complete line within this time after it connects, and a later
   // line must be complete within this time after its first byte. A connection with unsent data is closed to
@@ -37,6 +42,8 @@
   std::uint64_t room_cut = 0;
   // More than Limits::unsent_bytes waited to be sent.
   std::uint64_t unread_cut = 0;
+  // All connections together held more than Limits::buffered_bytes, and these the most of it.
+  std::uint64_t buffer_cut = 0;
   // Closed for a line longer than kMaxLineBytes.
   std::uint64_t overlong = 0;
   std::uint64_t accept_faults = 0;
@@ -96,6 +103,8 @@
   void stop_accepting();
   bool is_listening() const { return acceptor_.is_open(); }
   bool is_drained();
+  // Bytes that the connections hold, see Limits::buffered_bytes.
+  std::size_t buffered_bytes() const { return buffered_bytes_; }
   // Bytes that wait to be sent, over all connections.
   std::size_t unsent_bytes() const;
   void finish_sending();
@@ -117,6 +126,12 @@
   void handle_input(const std::shared_ptr<Connection> &connection, std::string_view bytes);
   void write(const std::shared_ptr<Connection> &connection);
   void close(Connection &connection, const char *why);
+  // The number of lines that one connection may use up now.
+  std::size_t lines_per_turn() const;
+  // Updates buffered_bytes_ after a change of what the connection holds.
+  void count_buffered(Connection &connection);
+  // Closes the connections that hold most until the rest is within the limit.
+  void free_buffers();
   // Closes connections that did not complete a line in time, periodically.
   void check_timeouts();
 
@@ -126,8 +141,14 @@
   Counters counters_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_, timeout_timer_;
-  // Shared by all connections: its content is handled before the next read.
-  std::array<char, 32 * 1024> buffer_;
+  // Shared by all connections: its content is handled before the next read. What exceeds a turn is kept, so
+  // it is little more than a turn of usual lines.
+  std::array<char, 8 * 1024> buffer_;
+  std::size_t buffered_bytes_ = 0;
+  // Connections with input that waits for their next turn.
+  std::size_t deferred_connections_ = 0;
+  // free_buffers() is posted.
+  bool freeing_ = false;
   std::unordered_map<ConnectionId, std::shared_ptr<Connection>> connections_;
   ConnectionId next_id_ = 1, latest_trusted_ = 0;
   // draining_backlog_: stop_accepting() was called and queued connections are still being accepted.
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -178,6 +178,7 @@
                  {"silent_cut", line_counts.silent_cut},
                  {"room_cut", line_counts.room_cut},
                  {"unread_cut", line_counts.unread_cut},
+                 {"buffer_cut", line_counts.buffer_cut},
                  {"overlong", line_counts.overlong},
                  {"accept_faults", line_counts.accept_faults},
                  {"accept_pauses", line_counts.accept_pauses},
--- a/src/platform/node_config.cpp
+++ b/src/platform/node_config.cpp
@@ -134,6 +134,7 @@
   out.viewer_descriptors = rest - out.server_descriptors;
   std::size_t memory = memory_mb * 1024 * 1024;
   out.max_description_bytes = memory / 8;
+  out.max_buffered_viewer_bytes = memory / 16;
   out.max_unsent_viewer_bytes = std::max<std::size_t>(32 * 1024, memory / 8 / out.viewer_descriptors);
   out.max_unsent_server_bytes = std::max<std::size_t>(64 * 1024, memory / 256);
   return out;
--- a/src/platform/node_config.h
+++ b/src/platform/node_config.h
@@ -22,6 +22,8 @@
   std::size_t half_closed_descriptors = 0;
   // Bytes of session descriptions of plays without an answer.
   std::size_t max_description_bytes = 0;
+  // Bytes that all connections of viewers together hold, received and not handled or not sent yet.
+  std::size_t max_buffered_viewer_bytes = 0;
   // Bytes written and not yet sent, on one connection.
   std::size_t max_unsent_viewer_bytes = 0, max_unsent_server_bytes = 0;
 };
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -45,6 +45,7 @@
   jsonlines::Limits limits;
   limits.connections = config_.resource_limits.viewer_descriptors;
   limits.unsent_bytes = config_.resource_limits.max_unsent_viewer_bytes;
+  limits.buffered_bytes = config_.resource_limits.max_buffered_viewer_bytes;
   return limits;
 }
 
--- a/tests/jsonlines/test_jsonlines.cpp
+++ b/tests/jsonlines/test_jsonlines.cpp
@@ -208,3 +208,68 @@
   CHECK(scene.server->counters().room_cut >= 9);
   CHECK_FALSE(trusted.closed);
 }
+
+// A front end that was killed for memory: hundreds of clients that stop half way through a large line.
+TEST_CASE("jsonlines: many connections that stop within a line hold memory without bound") {
+  asio::io_context io;
+  jsonlines::Limits limits;
+  limits.connections = 100;
+  limits.buffered_bytes = 200'000;
+  std::vector<std::string> lines;
+  jsonlines::Server::Events events;
+  events.on_line = [&](jsonlines::Server::ConnectionId, std::string_view line) { lines.emplace_back(line); };
+  events.on_closed = [](jsonlines::Server::ConnectionId, const char *) {};
+  jsonlines::Server server(io, loopback(), limits, std::move(events));
+  RawClient usual(io, server.local_endpoint());
+  usual.send("half a");
+  std::vector<std::unique_ptr<RawClient>> slow;
+  std::size_t most = 0;
+  for (int i = 0; i < 60; ++i) {
+    slow.push_back(std::make_unique<RawClient>(io, server.local_endpoint()));
+    slow.back()->send(std::string(15'000, 'x'));
+    run_for(io, 0.004);
+    most = std::max(most, server.buffered_bytes());
+  }
+  run_for(io, 0.05);
+  CHECK(server.buffered_bytes() <= limits.buffered_bytes);
+  CHECK(most <= limits.buffered_bytes + jsonlines::kMaxLineBytes);
+  CHECK(server.counters().buffer_cut >= 40);
+  // Those that hold most are closed, not the usual one.
+  usual.send(" line\n");
+  CHECK(run_until(
+      io, [&] { return lines == std::vector<std::string>{"half a line"}; }, 1));
+}
+
+// Answers that came late or never: clients that send lines at full speed.
+TEST_CASE("jsonlines: a round of many flooding connections delays another connection's line") {
+  asio::io_context io;
+  jsonlines::Limits limits;
+  limits.connections = 150;
+  std::size_t flood_lines = 0, lines_before_usual = 0;
+  jsonlines::Server::Events events;
+  events.on_line = [&](jsonlines::Server::ConnectionId, std::string_view line) {
+    if (line == "usual")
+      lines_before_usual = flood_lines;
+    else
+      ++flood_lines;
+  };
+  events.on_closed = [](jsonlines::Server::ConnectionId, const char *) {};
+  jsonlines::Server server(io, loopback(), limits, std::move(events));
+  RawClient usual(io, server.local_endpoint());
+  std::vector<std::unique_ptr<RawClient>> flooding;
+  std::string flood;
+  for (int i = 0; i < 400; ++i) flood += "a short line\n";
+  for (int i = 0; i < 100; ++i) {
+    flooding.push_back(std::make_unique<RawClient>(io, server.local_endpoint()));
+    flooding.back()->send(flood);
+  }
+  while (flood_lines < 1000) {
+    io.restart();
+    io.run_one_for(std::chrono::milliseconds(10));
+  }
+  std::size_t lines_at_send = flood_lines;
+  usual.send("usual\n");
+  REQUIRE(run_until(io, [&] { return lines_before_usual > 0; }));
+  // A few rounds at one line a connection; it was 16 lines a connection in each.
+  CHECK(lines_before_usual - lines_at_send < 500);
+}
