Soak: a front end's descriptors are counted once its program runs

Between fork and exec the child still has the laboratory's own; the sample fell into that moment. Now a process counts from its exec on; the limit is checked as before.

--- a/src/soak/front_process.cpp
+++ b/src/soak/front_process.cpp
@@ -233,6 +233,9 @@
   if (pid_ <= 0) return out;
   out.cpu_seconds = cpu_seconds();
   std::string proc = "/proc/" + std::to_string(pid_);
+  // Between fork and exec the child still holds this process's memory and descriptors.
+  std::error_code failed;
+  if (!std::filesystem::equivalent(proc + "/exe", options_.program, failed)) return out;
   std::ifstream in(proc + "/status");
   std::ostringstream status;
   status << in.rdbuf();
