A release that comes during the exit is not confirmed

Callers saw: a session whose server releases it in the last 50 ms of a planned restart is handed over to the next run and never ends. Evidence: the old run's log has session_ended 8 and 30 ms before drained, after the viewers' connections had been ended, and the server's release was answered 200. Now nothing that servers send is handled or answered from that moment on (Peer::stop_receiving); the server sends it again on the next run's connection. The new case fails without (the late release is confirmed).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -103,6 +103,7 @@
 // Ends the sending direction of the viewers' connections first, so that viewers read all answers before the
 // connections are closed. A set-up that arrives after that is not answered; its viewer repeats it.
 void PlatformFront::finish_drain() {
+  servers_.stop_receiving();
   viewers_.finish();
   drain_timer_.expires_after(to_timer_duration(kFinishDelay));
   drain_timer_.async_wait([this](asio::error_code error) {
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -538,6 +538,10 @@
                                                             : "session does not run"}});
 }
 
+void RtspServerGateway::stop_receiving() {
+  for (int s : servers_with_peer_) server_slot(s)->peer->stop_receiving();
+}
+
 bool RtspServerGateway::has_unsent_releases() const {
   return std::ranges::any_of(servers_with_peer_, [&](int s) {
     return server_slots_[static_cast<std::size_t>(s)]->peer->has_unwritten_releases();
--- a/src/platform/rtsp_server_gateway.h
+++ b/src/platform/rtsp_server_gateway.h
@@ -40,6 +40,9 @@
   // Shutdown has begun: no connection is opened only to receive any more. The front end's next run receives
   // what servers say then.
   void drain() { draining_ = true; }
+  // Viewers can be told nothing any more. What servers send from now on is not confirmed, so that they send
+  // it again to the front end's next run.
+  void stop_receiving();
   // Applies the times and limits of the configuration, which has changed.
   void reload();
 
--- a/src/rtsp/peer.cpp
+++ b/src/rtsp/peer.cpp
@@ -218,7 +218,7 @@
   connection->socket.async_read_some(
       asio::buffer(connection->buffer),
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error, std::size_t size) {
-        if (alive.expired() || !connection->is_receiving()) return;
+        if (alive.expired() || !connection->is_receiving() || !receiving_) return;
         if (error) {
           // Nothing can follow what was read.
           deliver_last(connection);
@@ -257,7 +257,7 @@
   connection->settle_timer.expires_after(to_timer_duration(wait));
   connection->settle_timer.async_wait(
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-        if (error || alive.expired() || !connection->is_receiving()) return;
+        if (error || alive.expired() || !connection->is_receiving() || !receiving_) return;
         // What has arrived meanwhile is read first.
         if (!connection->has_unread_data()) deliver_last(connection);
       });
@@ -514,7 +514,7 @@
   connection->connect_timer.expires_after(to_timer_duration(kHalfClosedLifetime));
   connection->connect_timer.async_wait(
       [this, connection, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
-        if (error || alive.expired() || connection->state != State::half_closed) return;
+        if (error || alive.expired() || connection->state != State::half_closed || !receiving_) return;
         // Data that arrived in time is unread if this process did not run meanwhile.
         if (connection->has_unread_data()) return wait_for_server_end(connection);
         deliver_last(connection);
--- a/src/rtsp/peer.h
+++ b/src/rtsp/peer.h
@@ -157,6 +157,8 @@
   void close_oldest_idle(bool has_sessions);
   // Closes every connection and reports the end of each connection and set-up.
   void close_all();
+  // From now on nothing that servers send is handled or answered; it is unheard when the process ends.
+  void stop_receiving() { receiving_ = false; }
   // Closes every connection. No event is raised afterwards.
   void shut_down();
 
@@ -217,6 +219,7 @@
   // The session of the outstanding probe, or 0.
   std::uint64_t probe_session_ = 0;
   asio::steady_timer probe_timer_;
+  bool receiving_ = true;
   // Callbacks hold a weak reference to detect that the peer was shut down.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -21,6 +21,8 @@
   std::vector<SetUp> set_ups;
   // Sessions of received releases and rung changes.
   std::vector<std::string> released, rung_changes;
+  // Sessions whose release by the server the front end has confirmed.
+  std::vector<std::string> confirmed;
   // The X-Tier header of each set-up.
   std::vector<std::string> tiers;
   // How the server answers set-ups and releases, see on_set_up() and on_message(); any other word, such as
@@ -70,6 +72,8 @@
       if (behavior == "cross") RawServer::send(connection, answer(session, 200, "late"));
     } else if (message.method == "SET_PARAMETER") {
       rung_changes.push_back(session);
+    } else if (message.status == 200 && message.find_header("CSeq") == "9") {
+      confirmed.push_back(session);
     } else if (message.method == "OPTIONS") {
       rtsp::Message answer_message;
       answer_message.status = 200;
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -176,6 +176,33 @@
   CHECK(scene.until([&] { return done; }, 0.5));
 }
 
+// The server does not send a release again that was confirmed, so its viewer never hears of it.
+TEST_CASE("exit: a server's release is confirmed when viewers can be told nothing any more") {
+  PlatformScene scene(1);
+  RawClient &viewer = scene.connect_viewer();
+  auto [server, early] = scene.start_play(viewer);
+  std::string late = scene.start_play(viewer).second;
+  auto release = [&, server = server](const std::string &tag) {
+    RawServer::send(*server->set_ups.back().connection,
+                    ScriptedServer::request(tag, "TEARDOWN", {{"Reason", "cause=16"}}));
+  };
+  bool done = false;
+  scene.front->drain([&] { done = true; });
+  scene.run(0.1);
+  release(early);
+  CHECK(scene.until([&, tag = early] { return PlatformScene::has_received(viewer, "FINISH", tag); }, 0.5));
+  // The front end ends its sending direction towards viewers just before it exits.
+  REQUIRE(scene.until([&] { return viewer.closed; }, 3));
+  REQUIRE_FALSE(done);
+  release(late);
+  REQUIRE(scene.until([&] { return done; }, 1));
+  scene.front.reset();
+  scene.until([] { return false; }, 0);
+  run_for(scene.io, 0.05);
+  CHECK_FALSE(PlatformScene::has_received(viewer, "FINISH", late));
+  CHECK(server->confirmed == std::vector<std::string>{early});
+}
+
 TEST_CASE("exit: bytes that arrive during the exit do not destroy the last answer by a reset") {
   PlatformScene scene(1);
   SlowPeer peer(scene.io, scene.front->viewers().local_endpoint());
