A hang-up is read off the events that the system reports

Any event would have counted, also an error of the call's own, and set-ups would have been dropped. Found by re-reading. stop() forgets what its connections held.

--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -26,7 +26,7 @@
 // Returns whether the other side has closed or reset the connection, also where bytes are still unread.
 bool has_hung_up(asio::ip::tcp::socket &socket) {
   pollfd poll_entry{socket.native_handle(), POLLRDHUP, 0};
-  return ::poll(&poll_entry, 1, 0) > 0;
+  return ::poll(&poll_entry, 1, 0) > 0 && (poll_entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 } // namespace
@@ -77,6 +77,7 @@
   timeout_timer_.cancel();
   auto connections = std::move(connections_);
   connections_.clear();
+  buffered_bytes_ = 0;
   for (auto &[id, connection] : connections) {
     set_state(*connection, State::closed);
     connection->socket.close(ignored);
