Sessions handed over to a server that restarted before the front end are found out

Callers saw: a session that a server's crash cut while its front end was away is handed over and never ends, where the server came back over 2 s before the front end. Cause: the front end cannot know whether such a session is older than its server's start, and took it for younger. Now sessions that are handed over at a start to a server that started less than 60 s before are judged like those from before a lost connection: where none of the server's notes names one of them within 1.5 intervals and 1.5 s, they end. The new slow case fails without (never told) and keeps a session that notes name.

--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -1,5 +1,6 @@
 #include "platform/rtsp_server_gateway.h"
 #include "decision/connection_budget.h"
+#include "decision/handover_age.h"
 #include "decision/setting_names.h"
 #include "platform/outcome_mapping.h"
 #include "settings/hex_id.h"
@@ -404,7 +405,11 @@
 
 void RtspServerGateway::play_handed_over(int play) {
   const PlayRecord &record = core_->plays().at(play);
-  double oldest_kept = core_->clock().now() - settings::kReleaseTimeLimit;
+  double now = core_->clock().now();
+  ServerSlot *slot = server_slot(record.server);
+  if (slot && record.started_at < now && may_predate_server(now, slot->entry.started_at))
+    slot->liveness.uncertain_handover(now);
+  double oldest_kept = now - settings::kReleaseTimeLimit;
   while (!early_releases_.empty() && early_releases_.front().at < oldest_kept) early_releases_.pop_front();
   auto release = std::ranges::find_if(early_releases_, [&](const EarlyRelease &early) {
     return early.session == record.id && (early.server == core_->server_id(record.server) ||
--- a/tests/platform/test_endings.cpp
+++ b/tests/platform/test_endings.cpp
@@ -610,6 +610,29 @@
   CHECK_FALSE(PlatformScene::has_received(peer, "FINISH", newer));
 }
 
+TEST_CASE("handover: a session older than its server's start is held where the front end started later still",
+          "[slow]") {
+  bool is_held = GENERATE(true, false);
+  auto started_ms = static_cast<std::uint64_t>(
+      (std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() - 5) *
+      1000);
+  // Servers send a note each second.
+  PlatformScene scene(1, "safe", [&](nlohmann::json &config) {
+    config["known"]["cmds"][0]["nodes"]["targets"][0]["boot_ms"] = started_ms;
+  });
+  RawClient &viewer = scene.connect_viewer();
+  std::string tag = scene.next_tag();
+  viewer.send(PlatformScene::start_line(tag, ";at:s-00000001", "7f3a9c21e0b4d655", "4294967"));
+  REQUIRE(scene.until([&] { return !scene.servers[0]->server.connections.empty(); }, 2));
+  for (int i = 0; i < 8; ++i) {
+    if (is_held)
+      RawServer::send(*scene.servers[0]->server.connections.back(),
+                      ScriptedServer::request(tag, "ANNOUNCE", {{"X-Outcome", "link"}, {"P-Amount", "0.3"}}));
+    scene.run(1);
+  }
+  CHECK(PlatformScene::has_received(viewer, "FINISH", tag) != is_held);
+}
+
 TEST_CASE("drain: a connection opened only to receive takes a server's release that is lost at the exit") {
   PlatformScene scene(1);
   auto [server, tag] = scene.start_play(scene.connect_viewer());
