--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -1,4 +1,6 @@
 #include "soak/clients.h"
+#include "soak/ids.h"
+#include "soak/timer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,12 +27,6 @@
 // passed health checks are ignored.
 constexpr double kWithheldShare = 0.1, kDelayedReady = 11;
 
-std::string hex16(std::uint64_t value) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
-  return text;
-}
-
 } // namespace
 
 Clients::Clients(asio::io_context &io, const Scenario &scenario, Ledger &ledger, int front,
@@ -39,11 +35,7 @@
       rng_(seed) {}
 
 void Clients::run_after(double seconds, std::function<void()> call) {
-  auto timer =
-      std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
-  timer->async_wait([timer, call = std::move(call)](asio::error_code error) {
-    if (!error) call();
-  });
+  soak::run_after(io_, seconds, std::move(call));
 }
 
 void Clients::start() {
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -1,4 +1,6 @@
 #include "soak/fleet.h"
+#include "soak/ids.h"
+#include "soak/timer.h"
 
 #include <algorithm>
 #include <csignal>
@@ -53,10 +55,7 @@
     clients_.push_back(std::make_unique<Clients>(io, scenario, ledger, f, listen, rng_.next_u64()));
     clients_.back()->server_name_of = [this](std::uint64_t session) {
       std::uint32_t id = ledger_.server_id_of(session);
-      if (id == 0) return std::string();
-      char text[16];
-      std::snprintf(text, sizeof text, "s-%08x", id);
-      return std::string(text);
+      return id == 0 ? std::string() : server_name(id);
     };
   }
 }
@@ -75,11 +74,7 @@
 }
 
 void Fleet::run_after(double seconds, std::function<void()> call) {
-  auto timer =
-      std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
-  timer->async_wait([timer, call = std::move(call)](asio::error_code error) {
-    if (!error) call();
-  });
+  soak::run_after(io_, seconds, std::move(call));
 }
 
 void Fleet::start_all() {
--- a/src/soak/front_process.cpp
+++ b/src/soak/front_process.cpp
@@ -1,4 +1,5 @@
 #include "soak/front_process.h"
+#include "soak/ids.h"
 #include "soak/ledger.h"
 
 #include <nlohmann/json.hpp>
@@ -29,12 +30,6 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
-std::string server_name(std::uint32_t id) {
-  char text[16];
-  std::snprintf(text, sizeof text, "s-%08x", id);
-  return text;
-}
-
 nlohmann::json settings_of(const Scenario &scenario, int index) {
   const Deployment &d = scenario.deployment;
   nlohmann::json s;
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -1,4 +1,6 @@
 #include "soak/servers.h"
+#include "soak/ids.h"
+#include "soak/timer.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +9,6 @@
 
 namespace {
 
-constexpr double kNoteInterval = 1; // seconds
 // The share of set-ups that are refused in a run that breaks a rule about retries on purpose.
 constexpr double kHighRefuseShare = 0.5;
 // The share of servers that repeat a release on the next connection although it was confirmed.
@@ -15,12 +16,6 @@
 constexpr std::size_t kMaxReleases = 4096;
 constexpr const char *kGauges = "X-Gauges: cpu:0.3;x1:0.3\r\n";
 
-std::string hex16(std::uint64_t value) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
-  return text;
-}
-
 std::uint64_t unix_ms() {
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                         std::chrono::system_clock::now().time_since_epoch())
@@ -138,10 +133,8 @@
 }
 
 void StandInServer::run_after(double seconds, std::function<void()> call) {
-  auto timer =
-      std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(static_cast<long>(seconds * 1e6)));
-  timer->async_wait([this, timer, generation = generation_, call = std::move(call)](asio::error_code error) {
-    if (!error && generation == generation_) call();
+  soak::run_after(io_, seconds, [this, generation = generation_, call = std::move(call)] {
+    if (generation == generation_) call();
   });
 }
 
@@ -269,7 +262,7 @@
   if (!sends_release) return;
   auto connection = find_open_connection(ended.front, ended.connection);
   if (releases_.size() >= kMaxReleases) releases_.erase(releases_.begin());
-  releases_.push_back({session, ended.front});
+  releases_.push_back({session, ended.front, connection != nullptr});
   if (connection)
     connection->stream->send(format_rtsp_request("TEARDOWN", hex16(session), "Reason: cause=16\r\n"),
                              [this, session] { ledger_.server_release_written(session, index_); });
@@ -282,7 +275,9 @@
           format_rtsp_request("TEARDOWN", hex16(release.session), "Reason: cause=16\r\n"),
           [this, session = release.session] { ledger_.server_release_written(session, index_); });
   }
-  std::erase_if(releases_, [&](const Release &release) { return release.front == front; });
+  std::erase_if(releases_, [&](Release &release) {
+    return release.front == front && std::exchange(release.sent, true);
+  });
 }
 
 void StandInServer::poll() {
--- a/src/soak/servers.h
+++ b/src/soak/servers.h
@@ -78,12 +78,13 @@
     double ends_at = 0;
     std::weak_ptr<Connection> connection; // on which the session was set up
   };
-  // A release of an ended session. It is sent at once where a connection is open, and once more on the next
-  // connection from the front end, since the first may be lost. Some servers don't repeat one that the front
-  // end has confirmed.
+  // A release of an ended session. It is sent at once where a connection is open, else on the next one from
+  // the front end, and once more on the one after that, since the first may be lost. Some servers don't
+  // repeat one that the front end has confirmed.
   struct Release {
     std::uint64_t session;
     int front;
+    bool sent;
   };
   void accept(asio::ip::tcp::socket socket);
   void on_message(const ConnectionRef &connection, const RtspMessage &message);
--- a/tests/platform/test_address_reuse.cpp
+++ b/tests/platform/test_address_reuse.cpp
@@ -38,6 +38,12 @@
     process.set_ups.clear();
     process.released.clear();
   }
+  // An old play, and the connection that the front end has opened to the next process.
+  RawServer::Connection &replace_process_under_play() {
+    start_old_play();
+    replace_process();
+    return next_connection();
+  }
   // Waits for the connection that the front end opens to the address after the old one was reset.
   RawServer::Connection &next_connection() {
     if (!until([&] { return !process.server.connections.empty(); }, 2))
@@ -102,9 +108,7 @@
   for (Told order : {Told::gone_first, Told::ready_first, Told::together, Told::only_ready}) {
     CAPTURE(static_cast<int>(order));
     AddressScene scene;
-    scene.start_old_play();
-    scene.replace_process();
-    RawServer::Connection &stray = scene.next_connection();
+    RawServer::Connection &stray = scene.replace_process_under_play();
     scene.tell_replacement(order);
     auto [server, tag] = scene.start_play(scene.viewer);
     // The connection of the set-up closes, so that the release takes another open one.
@@ -121,9 +125,7 @@
        {Told::gone_first, Told::ready_first, Told::together, Told::only_ready, Told::only_gone}) {
     CAPTURE(static_cast<int>(order));
     AddressScene scene;
-    scene.start_old_play();
-    scene.replace_process();
-    RawServer::Connection &next = scene.next_connection();
+    RawServer::Connection &next = scene.replace_process_under_play();
     // Notes on a session of some other front end.
     for (int i = 0; i < 3; ++i) RawServer::send(next, scene.note_on("00000000000000aa")), scene.run(0.05);
     scene.tell_replacement(order);
@@ -136,9 +138,7 @@
        {Told::gone_first, Told::ready_first, Told::together, Told::only_ready, Told::only_gone}) {
     CAPTURE(static_cast<int>(order));
     AddressScene scene;
-    scene.start_old_play();
-    scene.replace_process();
-    scene.next_connection();
+    scene.replace_process_under_play();
     // Discovery has told nothing yet: the set-up reaches the new process under the old id.
     auto [server, newer] = scene.start_play(scene.viewer);
     RawServer::Connection *of_set_up = scene.process.set_ups.back().connection;
@@ -155,9 +155,7 @@
     "address reuse: a release of a session set up under the earlier id is dropped on a connection of the new "
     "server") {
   AddressScene scene;
-  scene.start_old_play();
-  scene.replace_process();
-  scene.next_connection();
+  scene.replace_process_under_play();
   auto [server, newer] = scene.start_play(scene.viewer);
   RawServer::Connection *under_old_id = scene.process.set_ups.back().connection;
   scene.tell_replacement(Told::gone_first);
@@ -172,9 +170,7 @@
 TEST_CASE(
     "address reuse: a client's release of a session set up under the earlier id never reaches the process") {
   AddressScene scene;
-  scene.start_old_play();
-  scene.replace_process();
-  scene.next_connection();
+  scene.replace_process_under_play();
   auto [server, newer] = scene.start_play(scene.viewer);
   scene.tell_replacement(Told::gone_first);
   scene.viewer.send(PlatformScene::finish_line(newer));
@@ -183,9 +179,7 @@
 
 TEST_CASE("address reuse: a release before the answer is dropped on another connection of the same process") {
   AddressScene scene;
-  scene.start_old_play();
-  scene.replace_process();
-  RawServer::Connection &stray = scene.next_connection();
+  RawServer::Connection &stray = scene.replace_process_under_play();
   scene.tell_replacement(Told::together);
   scene.process.behavior = "silent";
   std::string tag = scene.next_tag();
@@ -244,9 +238,7 @@
 
 TEST_CASE("address reuse: a release heard before the hand-over counts for the server that has the address") {
   AddressScene scene;
-  scene.start_old_play();
-  scene.replace_process();
-  RawServer::Connection &stray = scene.next_connection();
+  RawServer::Connection &stray = scene.replace_process_under_play();
   // Its start is not told, which would end the play.
   scene.tell(record(scene.record_of(3, scene.process, 0)));
   scene.run(0.1);
@@ -259,9 +251,7 @@
 
 TEST_CASE("address reuse: a server that comes back with its own id is taken for the process before") {
   AddressScene scene;
-  scene.start_old_play();
-  scene.replace_process();
-  RawServer::Connection &next = scene.next_connection();
+  RawServer::Connection &next = scene.replace_process_under_play();
   RawServer::send(next, scene.note_on("00000000000000aa"));
   scene.tell(scene.gone(1));
   scene.run(0.1);
