review: stand-ins release on the next connection too, and use an address of their own

A sound node sends its release on the next connection opened as well, and a viewer gives a set-up up on the connection of the set-up; the stand-ins did neither. Each case now takes a loopback address of its own, so that cases can run side by side.

--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -38,7 +38,7 @@
       // The sessions of other front ends take the rest of a full node.
       return node->full ? 1.1 : sum / kLink;
     };
-    node->on_release = [&](std::uint64_t session) { released[session] = rig.now(); };
+    node->on_release = [&](std::uint64_t session) { released.emplace(session, rig.now()); };
   }
   Channel channel(rig);
   std::vector<Node *> listed;
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -34,6 +34,14 @@
 
 namespace rig {
 
+// The loopback address of this case, derived from the process id, so that cases that run side by side do not
+// take each other's ports.
+inline std::uint32_t own_address() {
+  // The front end's process, before it is the front end, gets the same address.
+  static const auto pid = static_cast<std::uint32_t>(getpid());
+  return 0x7f000000u | (10 + (pid >> 14) % 200) << 16 | (pid >> 7) % 128 << 8 | (1 + pid % 128);
+}
+
 // Thrown where a case cannot run; main() turns it into exit code 2.
 struct CannotRun {
   std::string why;
@@ -54,6 +62,11 @@
   return buffer;
 }
 
+inline std::string address_text() {
+  std::uint32_t address = own_address();
+  return format("%u.%u.%u.%u", address >> 24, address >> 16 & 255, address >> 8 & 255, address & 255);
+}
+
 inline std::string hex16(std::uint64_t id) { return format("%016llx", static_cast<unsigned long long>(id)); }
 
 // A connection of a stand-in. `out` holds what the kernel did not take yet.
@@ -95,14 +108,15 @@
   void at(double when, std::function<void()> run) { timers_.emplace(when, std::move(run)); }
   void after(double wait, std::function<void()> run) { at(now() + wait, std::move(run)); }
 
-  // Listens on 127.0.0.1; port 0 lets the system choose. Returns the descriptor and sets the port.
+  // Listens on the case's loopback address; port 0 lets the system choose. Returns the descriptor and sets
+  // the port.
   static int listen_on(int &port, int backlog = 256) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = htonl(own_address());
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     if (bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0 || listen(fd, backlog) != 0)
       throw CannotRun{"cannot listen on a loopback port"};
@@ -129,7 +143,7 @@
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = htonl(own_address());
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     int result = connect(fd, reinterpret_cast<sockaddr *>(&address), sizeof address);
     bool pending = result != 0 && errno == EINPROGRESS;
@@ -325,7 +339,8 @@
     conn->on_closed = [this, raw] {
       std::erase_if(conns, [&](const ConnPtr &one) { return one.get() == raw; });
     };
-    for (std::uint64_t session : std::exchange(pending_releases, {})) send_release(session, 16);
+    // A release goes out on the next connection opened as well.
+    for (std::uint64_t session : std::exchange(pending_releases, {})) write_release(conn, session);
   }
   static std::string header(const std::string &head, const char *name) {
     std::size_t at = head.find(std::string("\r\n") + name + ": ");
@@ -359,17 +374,18 @@
       if (conn->fd >= 0) return conn;
     return nullptr;
   }
-  void send_release(std::uint64_t session, int cause) {
-    ConnPtr conn = any_conn(nullptr);
-    if (!conn) {
-      pending_releases.insert(session);
-      return;
-    }
-    rig_.record("node %s: release %s cause %d", uid().c_str(), hex16(session).c_str(), cause);
+  void write_release(const ConnPtr &conn, std::uint64_t session) {
+    rig_.record("node %s: release %s cause 16", uid().c_str(), hex16(session).c_str());
     rig_.send(conn, "TEARDOWN rtsp://media/session RTSP/1.0\r\nCSeq: 7\r\nSession: " + hex16(session) +
-                        "\r\nReason: cause=" + std::to_string(cause) + "\r\nContent-Length: 0\r\n\r\n");
+                        "\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n");
     if (on_release) on_release(session);
   }
+  // The session has come to its end: released on the connection of its set-up, otherwise on any open one, and
+  // on the next one opened as well.
+  void send_release(std::uint64_t session, const ConnPtr &first) {
+    pending_releases.insert(session);
+    if (ConnPtr conn = any_conn(first)) write_release(conn, session);
+  }
   void note(std::uint64_t session) {
     auto it = sessions.find(session);
     if (it == sessions.end() || !link_demand) return;
@@ -410,9 +426,9 @@
         rig_.record("node %s: 200 to %s", uid().c_str(), session_text.c_str());
         reply(conn, "200 OK", "1", session_text, gauge_header(), "v=0\r\no=" + session_text + "\r\n");
         note(setup.session);
-        rig_.after(lasts, [this, session = setup.session, life_now] {
+        rig_.after(lasts, [this, session = setup.session, life_now, conn] {
           if (life_now != life_ || !sessions.erase(session)) return;
-          send_release(session, 16);
+          send_release(session, conn);
         });
       });
       return;
@@ -474,11 +490,11 @@
                            const std::string &kind) {
     std::string targets;
     for (const Node *node : nodes)
-      targets +=
-          (targets.empty() ? "" : ",") +
-          format(R"({"uid":"%s","endpoint":"127.0.0.1:%d","az":"%s","model":"%s","pod_group":%d,)"
-                 R"("state":"active","capacity_hint":1,"boot_ms":%.0f})",
-                 node->uid().c_str(), node->port, zone.c_str(), kind.c_str(), node->cell, node->boot * 1000);
+      targets += (targets.empty() ? "" : ",") +
+                 format(R"({"uid":"%s","endpoint":"%s:%d","az":"%s","model":"%s","pod_group":%d,)"
+                        R"("state":"active","capacity_hint":1,"boot_ms":%.0f})",
+                        node->uid().c_str(), address_text().c_str(), node->port, zone.c_str(), kind.c_str(),
+                        node->cell, node->boot * 1000);
     return R"({"cursor":1,"cmds":[{"cursor":1,"nodes":{"rev":1,"all":true,"targets":[)" + targets + "]}}]}";
   }
   int port = 0;
@@ -526,7 +542,7 @@
   static std::string record_of(const Node &node, State state) {
     std::string out;
     number(out, node.id, 4);
-    number(out, 0x7f000001, 4);
+    number(out, own_address(), 4);
     number(out, static_cast<std::uint64_t>(node.port), 2);
     number(out, static_cast<std::uint64_t>(state), 1);
     number(out, 0, 1);
@@ -566,9 +582,9 @@
     if (!file) throw CannotRun{"cannot write the configuration"};
     fprintf(
         file,
-        R"({"name":"n0","listen":"127.0.0.1:%d","seed":"8c1f30d27a5be964",)"
-        R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":"127.0.0.1:%d","known":%s,"settings":%s})",
-        port, channel_port, known.c_str(), settings.c_str());
+        R"({"name":"n0","listen":"%s:%d","seed":"8c1f30d27a5be964",)"
+        R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":"%s:%d","known":%s,"settings":%s})",
+        address_text().c_str(), port, address_text().c_str(), channel_port, known.c_str(), settings.c_str());
     fclose(file);
     if (rename(next.c_str(), config_.c_str()) != 0) throw CannotRun{"cannot replace the configuration"};
   }
@@ -581,7 +597,7 @@
       // The front end ends with the case, however that ends.
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (chdir(root) != 0) _exit(127);
-      std::string log = folder_ + "/front.log", listen = format("127.0.0.1:%d", port);
+      std::string log = folder_ + "/front.log", listen = format("%s:%d", address_text().c_str(), port);
       int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
       dup2(fd, 2);
@@ -612,7 +628,7 @@
   }
   // Sends tests until one has passed, then calls `ready`.
   void wait_ready(std::function<void()> ready) {
-    if (rig_.now() > 20) throw CannotRun{"the front end did not become ready"};
+    if (rig_.now() > 20 || !alive()) throw CannotRun{"the front end did not become ready"};
     auto conn = rig_.connect_to(port);
     std::weak_ptr<Conn> weak = conn;
     auto done = std::make_shared<bool>(false);
@@ -670,13 +686,12 @@
                            hex16(tag * 2654435761u).c_str()));
     rig_.record("viewer: START %s %s", hex16(tag).c_str(), product.c_str());
     // A viewer that stops waiting gives the set-up up.
-    rig_.after(left + 0.05, [this, tag] {
+    rig_.after(left + 0.05, [this, tag, conn] {
       Request &late = requests[tag];
       if (late.answers > 0) return;
       late.given_up = true;
       rig_.record("viewer: gives %s up", hex16(tag).c_str());
-      rig_.send(connection(0),
-                "{\"verb\":\"FINISH\",\"tag\":\"" + hex16(tag) + "\",\"opts\":{},\"rc\":16}\n");
+      rig_.send(conn, "{\"verb\":\"FINISH\",\"tag\":\"" + hex16(tag) + "\",\"opts\":{},\"rc\":16}\n");
     });
     return tag;
   }
