--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -44,7 +44,7 @@
   std::vector<Node *> listed;
   for (auto &node : nodes) listed.push_back(node.get());
   Front front(rig, folder);
-  front.start(kSettings, Channel::known(listed, "cd-puerto", "std-2c"), channel.port);
+  front.start(kSettings, Channel::known(listed, {"cd-puerto"}, "std-2c"), channel.port);
   Viewers viewers(rig, front.port, 4);
   bool done = false;
 
