--- a/review/standins-2/case9.cpp
+++ b/review/standins-2/case9.cpp
@@ -13,8 +13,10 @@
 constexpr double kLink = 5600;
 constexpr double kLadder[] = {220, 400, 700, 2000};
 
-const char *kSettings =
-    R"({"group_size":1,"index":0,"areas":["cd-puerto"],"skus":["std-2c"],"my_zone":"cd-puerto",
+// Of two front ends, by index.
+std::string settings_of(int index) {
+  const char *settings =
+      R"({"group_size":2,"index":%d,"areas":["cd-puerto"],"skus":["std-2c"],"my_zone":"cd-puerto",
 "discovery":"pushed","weights":"rough","tenants":[],"tick":0.01,"tier":0,"tiers":["video"],
 "classes":[{"name":"standard","on_time":1.5,"deadline":4.0,"worth":1.0,"effect":"safe","stream":true},
 {"name":"priority","on_time":0.8,"deadline":3.0,"worth":2.0,"effect":"safe","stream":true}],
@@ -26,6 +28,8 @@
 "max_retry_after":0.5,"cancel":true,"second_copies":false},
 "report":{"how":"answers","names":["active","x0"]},
 "rules":{"answer_slack":0.04,"cold":8,"cold_from":0.5,"fall_multiple":3,"tip_after":1.5,"stop_sending_within":0.5}})";
+  return format(settings, index);
+}
 
 bool run(Rig &rig, const std::string &folder) {
   std::vector<std::unique_ptr<Node>> nodes;
@@ -58,8 +62,11 @@
   Channel channel(rig);
   std::vector<Node *> listed;
   for (auto &node : nodes) listed.push_back(node.get());
-  Front front(rig, folder);
-  front.start(kSettings, Channel::known(listed, {"cd-puerto"}, "std-2c"), channel.port);
+  // The second front end has no viewers and never stands still.
+  Front front(rig, folder), second(rig, folder, "n1");
+  auto known = Channel::known(listed, {"cd-puerto"}, "std-2c");
+  second.start(settings_of(1), known, channel.port);
+  front.start(settings_of(0), known, channel.port);
   Viewers viewers(rig, front.port, 6);
   bool done = false;
 
@@ -99,7 +106,7 @@
   });
   rig.run(70);
   if (!done) throw CannotRun{"the case did not come to its end"};
-  if (!front.alive()) throw CannotRun{"the front end's process ended"};
+  if (!front.alive() || !second.alive()) throw CannotRun{"the front end's process ended"};
   std::size_t started = 0;
   for (auto &entry : viewers.requests) started += entry.second.stands;
   rig.record("%zu set-ups sent, %zu stood, %zu nodes drained", viewers.requests.size(), started, told.size());
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -592,7 +592,8 @@
 
 class Front {
  public:
-  Front(Rig &rig, const std::string &folder) : rig_(rig), folder_(folder) {
+  Front(Rig &rig, const std::string &folder, const std::string &name = "n0")
+      : rig_(rig), folder_(folder), name_(name) {
     // A port that was free a moment ago.
     int fd = Rig::listen_on(port);
     ::close(fd);
@@ -600,15 +601,16 @@
   ~Front() { kill_now(); }
   // The file is replaced as a whole, so that the front end never reads a part of it.
   void write_config(const std::string &settings, const std::string &known, int channel_port) {
-    config_ = folder_ + "/config.json";
+    config_ = folder_ + "/" + name_ + ".json";
     std::string next = config_ + ".next";
     FILE *file = fopen(next.c_str(), "w");
     if (!file) throw CannotRun{"cannot write the configuration"};
     fprintf(
         file,
-        R"({"name":"n0","listen":"%s:%d","seed":"8c1f30d27a5be964",)"
+        R"({"name":"%s","listen":"%s:%d","seed":"8c1f30d27a5be964",)"
         R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"channel":"%s:%d","known":%s,"settings":%s})",
-        address_text().c_str(), port, address_text().c_str(), channel_port, known.c_str(), settings.c_str());
+        name_.c_str(), address_text().c_str(), port, address_text().c_str(), channel_port, known.c_str(),
+        settings.c_str());
     fclose(file);
     if (rename(next.c_str(), config_.c_str()) != 0) throw CannotRun{"cannot replace the configuration"};
   }
@@ -621,11 +623,12 @@
       // The front end ends with the case, however that ends.
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       if (chdir(root) != 0) _exit(127);
-      std::string log = folder_ + "/front.log", listen = format("%s:%d", address_text().c_str(), port);
+      std::string log = folder_ + "/" + name_ + ".log",
+                  listen = format("%s:%d", address_text().c_str(), port);
       int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(fd, 1);
       dup2(fd, 2);
-      setenv("NODE_NAME", "n0", 1);
+      setenv("NODE_NAME", name_.c_str(), 1);
       setenv("NODE_LISTEN", listen.c_str(), 1);
       setenv("NODE_CONFIG", config_.c_str(), 1);
       setenv("TMPDIR", folder_.c_str(), 1);
@@ -675,7 +678,7 @@
 
  private:
   Rig &rig_;
-  std::string folder_, config_;
+  std::string folder_, name_, config_;
   pid_t pid_ = -1;
 };
 
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -14,6 +14,6 @@
 trap 'rm -rf "$folder"' EXIT
 timeout -k 5 110 "$case" "$root/review/$1/record.txt" "$folder"
 result=$?
-[ -z "${KEEP_LOG:-}" ] || cp "$folder/front.log" "$KEEP_LOG"
+[ -z "${KEEP_LOG:-}" ] || cp "$folder/n0.log" "$KEEP_LOG"
 [ "$result" -le 2 ] || result=2
 exit "$result"
