--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -11,9 +11,22 @@
   exit 2
 }
 folder="$(mktemp -d)" || exit 2
-trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 "$case" "$root/review/$1/record.txt" "$folder"
+child=""
+# However the script ends: the case first (its front ends end with it), then the folder.
+finish() {
+  if [ -n "$child" ]; then
+    kill "$child" 2>/dev/null
+    wait "$child" 2>/dev/null
+  fi
+  rm -rf "$folder"
+}
+trap finish EXIT
+trap 'exit 2' HUP INT TERM
+timeout -k 5 110 "$case" "$root/review/$1/record.txt" "$folder" &
+child=$!
+wait "$child"
 result=$?
+child=""
 [ -z "${KEEP_LOG:-}" ] || cp "$folder/n0.log" "$KEEP_LOG"
 [ "$result" -le 2 ] || result=2
 exit "$result"
