A handed-over session is held only where its server has shown that it holds it

Cause: whether a hand-over is older than its server was decided for the server as a whole, by a window of 2 s before the run and by chance over notes, and what stayed open after 6.5 s was dropped with the session held.

Fix: a state for each session that is handed over. It is confirmed by a message that names it; over after 6.5 s without one; presumed where its server has named one handed over with it and the note of the rung, which the protocol gives for a hand-over, is not known to be sent. Counters tell which.

--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -14,6 +14,17 @@
 add_executable(snowshore_platform_tests tests/test_main.cpp tests/rtsp/test_rtsp.cpp
                tests/jsonlines/test_jsonlines.cpp tests/discovery/test_discovery.cpp tests/platform/test_platform.cpp
                tests/platform/test_endings.cpp)
+# Sessions that are handed over: mostly waiting, so each case is a test of its own.
+add_executable(snowshore_handover_tests tests/test_main.cpp tests/platform/test_handover.cpp)
+target_include_directories(snowshore_handover_tests PRIVATE tests)
+target_link_libraries(snowshore_handover_tests PRIVATE snowshore_platform Catch2::Catch2)
+add_test(NAME handover.newer-sessions COMMAND snowshore_handover_tests "handover: a session older*")
+add_test(NAME handover.standing COMMAND snowshore_handover_tests "handover: sessions that stand*")
+add_test(NAME handover.younger-sessions COMMAND snowshore_handover_tests "handover: sessions older*")
+add_test(NAME handover.unsent-note COMMAND snowshore_handover_tests "handover: the missing note*")
+add_test(NAME handover.told-later COMMAND snowshore_handover_tests "handover: a session is held*")
+add_test(NAME handover.many COMMAND snowshore_handover_tests "handover: many*")
+add_test(NAME handover.evidence COMMAND snowshore_handover_tests "handover: the absence*")
 # Many servers: a program of its own, so that each of its cases is a test that KNOWN-RED.txt can name.
 add_executable(snowshore_many_servers_tests tests/test_main.cpp tests/platform/test_many_servers.cpp)
 target_include_directories(snowshore_many_servers_tests PRIVATE tests)
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -204,6 +204,8 @@
   play.server = server_index;
   play.allocation = 0;
   play.started_at = play.held_at = latest_set_up_time(clock_.now(), started_at_, first_test_at);
+  play.handover.state = HandoverState::unconfirmed;
+  play.handover.at = clock_.now();
   plays_.set_state(ref.index, PlayState::playing);
   request.title = play.title;
   call_engine([&] { engine_->play_handed_over(ref.index, server_index, request); });
--- a/src/edge/play_table.h
+++ b/src/edge/play_table.h
@@ -2,6 +2,7 @@
 // everywhere, also towards the decision engine, and is reused. docs/architecture.md has the table of states;
 // set_state() is the only function that changes a state.
 #pragma once
+#include "decision/handover_verdict.h"
 #include "decision/policy.h"
 #include "decision/sorted_indices.h"
 
@@ -44,6 +45,16 @@
 const char *name_of(FailureCause cause);
 FailureCause cause_of(Outcome outcome);
 
+// What is known of a play that was handed over.
+struct HandoverRecord {
+  HandoverState state = HandoverState::none;
+  // When it was handed over, in seconds of the loop clock.
+  double at = 0;
+  HandoverReach reach = HandoverReach::unconnected;
+  // This run has changed its rung, so that a note of the rung answers that.
+  bool rung_changed = false;
+};
+
 // One row of the table. Times are seconds of the loop clock.
 struct PlayRecord {
   PlayState state = PlayState::unused;
@@ -59,6 +70,7 @@
   double requested_at = 0, deadline = 0, started_at = 0;
   // When its server last showed that it holds the play; for one that was handed over, started_at at first.
   double held_at = 0;
+  HandoverRecord handover;
   // Seconds that the front end itself has spent on the play, and when it last began to work on it.
   double processing_time = 0, processing_since = 0;
   FailureCause cause = FailureCause::none;
--- a/src/platform/liveness.cpp
+++ b/src/platform/liveness.cpp
@@ -61,12 +61,6 @@
   }
 }
 
-void Liveness::uncertain_handover(double now) {
-  if (settings_->message_interval <= 0 || connection_lost_at_ >= 0) return;
-  connection_lost_at_ = silent_since_ = now;
-  newer_notes_ = 0;
-}
-
 // Messages may come later than the interval in the settings; the protocol's limit of 8 s bounds the silence.
 double Liveness::conclusive_silence() const {
   return std::min(settings_->silent_intervals * settings_->message_interval + settings_->max_message_delay,
--- a/src/platform/liveness.h
+++ b/src/platform/liveness.h
@@ -48,9 +48,6 @@
   bool notes_exclude_older(std::size_t newer, std::size_t older) const;
   // The last connection to the server ended, because of a restart or by itself.
   void connection_lost(double now);
-  // Sessions were handed over that the server may not hold, since it has started meanwhile. Judged like those
-  // from before a lost connection.
-  void uncertain_handover(double now);
   // The verdict on that loss was carried out, or cannot be.
   void clear_connection_loss();
   double connection_lost_at() const { return connection_lost_at_; }
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -22,9 +22,10 @@
 constexpr std::size_t kMaxEarlyReleases = 1024, kMaxConnectionsPerServer = 8;
 
 // Values of a note's X-Outcome header.
+constexpr std::string_view kRungNote = "rung";
 constexpr std::pair<std::string_view, FeedbackKind> kFeedbackNames[] = {
     {"delivered", FeedbackKind::share_delivered},
-    {"rung", FeedbackKind::rung},
+    {kRungNote, FeedbackKind::rung},
     {"link", FeedbackKind::link_demand},
     {"uplink", FeedbackKind::uplink_demand}};
 
@@ -78,6 +79,8 @@
   bool restarted = slot.known && entry.started_at > slot.entry.started_at;
   bool has_left = entry.status == ServerStatus::left;
   count_listed(slot.known && slot.entry.status != ServerStatus::left, !has_left);
+  // Plays that were handed over may be older than the start that the list tells now.
+  if (entry.started_at > slot.entry.started_at && plays_at(server) > 0) slot.handovers_due_at = 0;
   slot.entry = entry;
   slot.known = true;
   if (moved && slot.peer) {
@@ -89,6 +92,7 @@
     // What was observed concerns the process at the old address.
     slot.liveness = Liveness(liveness_settings_);
     slot.process = {};
+    slot.named_handover_at = slot.handover_named_at = -1;
   }
   if (has_left) {
     // Posted, so that the engine knows of the change when set-ups end.
@@ -202,8 +206,10 @@
   if (end == rtsp::EndReason::connect_failed) slot.liveness.connection_timed_out(now);
   // Messages that the server sent on that connection may be lost. It repeats its releases on the next
   // connection, so one is opened.
-  slot.reconnect_requested = slot.reconnect_requested || end == rtsp::EndReason::reset ||
-                             end == rtsp::EndReason::closed || end == rtsp::EndReason::unreadable;
+  if (end == rtsp::EndReason::reset || end == rtsp::EndReason::closed || end == rtsp::EndReason::unreadable) {
+    slot.reconnect_requested = true;
+    slot.messages_lost_at = now;
+  }
   if (last && (end == rtsp::EndReason::reset || end == rtsp::EndReason::closed))
     slot.liveness.connection_lost(now);
   if (!last || slot.entry.status != ServerStatus::left) return;
@@ -235,6 +241,11 @@
   for (int play : core_->plays().playing_at(server)) {
     if (!condition || condition(core_->plays().at(play))) lost.push_back(play);
   }
+  end_lost_plays(server, reason, counter, lost);
+}
+
+void RtspServerGateway::end_lost_plays(int server, const char *reason, std::uint64_t &counter,
+                                       const std::vector<int> &lost) {
   if (lost.empty()) return;
   ++counter;
   // If the process at the address holds a play after all, the release ends it there too.
@@ -303,6 +314,8 @@
   if (was_stalled) slot.liveness.data_received(now);
   rtsp::Peer *peer = peer_of(server);
   if (!peer) return server_lost(server, "gone", counters_.lost_gone);
+  // Messages that arrived while this process did not run are read before the next check.
+  if (!was_stalled) judge_handovers(server);
   if (draining_) return;
   // The address of a server that has left may belong to another server.
   bool has_left = slot.entry.status == ServerStatus::left;
@@ -404,11 +417,16 @@
 // ---- Running plays.
 
 void RtspServerGateway::play_handed_over(int play) {
-  const PlayRecord &record = core_->plays().at(play);
+  PlayRecord &record = core_->plays().at(play);
   double now = core_->clock().now();
-  ServerSlot *slot = server_slot(record.server);
-  if (slot && record.started_at < now && may_predate_server(now, slot->entry.started_at))
-    slot->liveness.uncertain_handover(now);
+  if (ServerSlot *slot = server_slot(record.server)) {
+    auto connected_for = slot->peer ? slot->peer->oldest_connection_age() : std::nullopt;
+    record.handover.reach = !connected_for                                     ? HandoverReach::unconnected
+                            : *connected_for < HandoverLimits::kEstablishedFor ? HandoverReach::just_connected
+                                                                               : HandoverReach::connected;
+    double due_at = record.handover.at + HandoverLimits::kConfirmWithin;
+    if (slot->handovers_due_at < 0 || due_at < slot->handovers_due_at) slot->handovers_due_at = due_at;
+  }
   double oldest_kept = now - settings::kReleaseTimeLimit;
   while (!early_releases_.empty() && early_releases_.front().at < oldest_kept) early_releases_.pop_front();
   auto release = std::ranges::find_if(early_releases_, [&](const EarlyRelease &early) {
@@ -417,6 +435,7 @@
   });
   if (release == early_releases_.end()) return;
   ++counters_.early_releases;
+  confirm_handover(play);
   asio::post(io_, [this, ref = core_->play_ref(play), outcome = release->outcome,
                    alive = std::weak_ptr<bool>(alive_)] {
     if (!alive.expired() && core_->is_current(ref)) core_->play_ended(ref.index, outcome);
@@ -424,8 +443,68 @@
   early_releases_.erase(release);
 }
 
+void RtspServerGateway::confirm_handover(int play) {
+  PlayRecord &record = core_->plays().at(play);
+  if (record.handover.state == HandoverState::none) return;
+  ServerSlot &slot = *server_slot(record.server);
+  slot.named_handover_at = std::max(slot.named_handover_at, record.handover.at);
+  slot.handover_named_at = core_->clock().now();
+  if (record.handover.state == HandoverState::confirmed) return;
+  record.handover.state = HandoverState::confirmed;
+  ++counters_.handovers_confirmed;
+}
+
+void RtspServerGateway::rung_note_received(int play) {
+  const edge::HandoverRecord &handover = core_->plays().at(play).handover;
+  // A play of this run, or one whose rung this run has changed, or named by an earlier note.
+  if (handover.state == HandoverState::none || handover.state == HandoverState::confirmed ||
+      handover.rung_changed || core_->clock().now() - handover.at > HandoverLimits::kConfirmWithin)
+    return;
+  ++counters_.handovers_rung_noted;
+  rung_notes_.note_received(handover.reach);
+}
+
+HandoverState RtspServerGateway::state_of_overdue_handover(const ServerSlot &slot,
+                                                           const PlayRecord &play) const {
+  HandoverEvidence evidence;
+  // What the server said before its last start was said by another process.
+  evidence.is_sibling_held = slot.handover_named_at > slot.entry.started_at &&
+                             play.handover.at <= slot.named_handover_at + HandoverLimits::kSameRunWindow;
+  evidence.is_rung_note_missing =
+      rung_notes_.is_expected(play.handover.reach) && slot.messages_lost_at < play.handover.at;
+  return judge_handover(evidence);
+}
+
+void RtspServerGateway::judge_handovers(int server) {
+  ServerSlot &slot = *server_slot(server);
+  double now = core_->clock().now();
+  if (slot.handovers_due_at < 0 || now < slot.handovers_due_at) return;
+  double next_due_at = -1;
+  std::vector<int> over;
+  for (int play : core_->plays().playing_at(server)) {
+    PlayRecord &record = core_->plays().at(play);
+    if (record.handover.state != HandoverState::unconfirmed ||
+        !may_predate_server(record.handover.at, slot.entry.started_at))
+      continue;
+    double due_at = record.handover.at + HandoverLimits::kConfirmWithin;
+    if (now < due_at) {
+      next_due_at = next_due_at < 0 ? due_at : std::min(next_due_at, due_at);
+      continue;
+    }
+    record.handover.state = state_of_overdue_handover(slot, record);
+    if (record.handover.state == HandoverState::presumed)
+      ++counters_.handovers_presumed;
+    else
+      over.push_back(play);
+  }
+  slot.handovers_due_at = next_due_at;
+  counters_.handovers_ended += over.size();
+  end_lost_plays(server, "handover_unconfirmed", counters_.lost_restarted, over);
+}
+
 void RtspServerGateway::change_rung(int play, int rung) {
-  const PlayRecord &record = core_->plays().at(play);
+  PlayRecord &record = core_->plays().at(play);
+  record.handover.rung_changed = true;
   ServerSlot *slot = server_slot(record.server);
   if (rtsp::Peer *peer = peer_of(record.server); peer && slot->entry.status != ServerStatus::left)
     peer->set_rung(record.id, rung);
@@ -500,7 +579,9 @@
 }
 
 void RtspServerGateway::note_received(int play, const rtsp::Message &message) {
+  if (message.find_header("X-Outcome") == kRungNote) rung_note_received(play);
   confirm_play(play);
+  confirm_handover(play);
   auto name = message.find_header("X-Outcome"), amount = message.find_header("P-Amount");
   auto value = amount ? settings::parse_number(*amount) : std::nullopt;
   auto kind =
@@ -516,6 +597,7 @@
 
 void RtspServerGateway::release_received(int play, const rtsp::Message &message) {
   Outcome outcome = release_outcome(release_cause(message).value_or(kCauseFailed));
+  confirm_handover(play);
   ++(outcome == Outcome::done    ? counters_.ended_done
      : outcome == Outcome::reset ? counters_.ended_reset
                                  : counters_.ended_left);
--- a/src/platform/rtsp_server_gateway.h
+++ b/src/platform/rtsp_server_gateway.h
@@ -2,6 +2,7 @@
 // persistent RTSP connections, and turns the messages of servers into calls on the core. It also checks with
 // Liveness whether servers that hold plays are alive. It runs on the core's executor.
 #pragma once
+#include "decision/handover_verdict.h"
 #include "edge/core.h"
 #include "platform/liveness.h"
 #include "platform/node_config.h"
@@ -27,6 +28,11 @@
                   unknown_sessions = 0, early_releases = 0, lost_silent = 0, lost_restarted = 0,
                   lost_gone = 0, closed_for_budget = 0, servers_scanned = 0, descriptions_rejected = 0,
                   unapplied_elsewhere = 0, unapplied_not_running = 0, lost_replaced = 0;
+    // Plays that were handed over: those that a message of their server has named, those among them that the
+    // note of the rung has named, those that are held since one handed over with them was named, and those
+    // that ended since nothing has shown that their server holds them.
+    std::uint64_t handovers_confirmed = 0, handovers_rung_noted = 0, handovers_presumed = 0,
+                  handovers_ended = 0;
     // Results of set-ups, by Outcome.
     std::array<std::uint64_t, 8> outcomes{};
     // Ends of connections, by rtsp::EndReason.
@@ -79,6 +85,13 @@
     // Until this time of the steady clock no connection is opened, because one was closed for the connection
     // budget.
     double set_aside_until = 0;
+    // When the next play that was handed over is to be judged; negative where there is none.
+    double handovers_due_at = -1;
+    // When the play was handed over that the server has named last, and when it named it. Negative before the
+    // first.
+    double named_handover_at = -1, handover_named_at = -1;
+    // When a connection to the server last ended in a way that may have lost messages; negative before that.
+    double messages_lost_at = -1;
     // Tells this server from a later one with the same index.
     std::uint64_t serial = 0;
     // Counts since the last log_server_statistics().
@@ -128,11 +141,22 @@
   // The peer on which a session at the server can be released: its own or, where the server has left and no
   // connection to it is open, that of the server which has its address. Null where there is none.
   rtsp::Peer *peer_for_release(int server);
+  // The server has shown that its process holds a play that was handed over.
+  void confirm_handover(int play);
+  // A note of the rung in force names a play, as servers send after its hand-over.
+  void rung_note_received(int play);
+  // Ends the plays that were handed over and that their server, which may have started since they were set
+  // up, has not been shown to hold in time.
+  void judge_handovers(int server);
+  // The state of an unconfirmed play whose time to be confirmed is over.
+  HandoverState state_of_overdue_handover(const ServerSlot &slot, const edge::PlayRecord &play) const;
   void connection_ended(int server, rtsp::EndReason end, bool last);
   // Ends the plays on the server for which the condition holds, and increments the counter where there are
   // any.
   void server_lost(int server, const char *reason, std::uint64_t &counter,
                    const std::function<bool(const edge::PlayRecord &)> &condition = {});
+  // Ends these plays on the server, and increments the counter where there are any.
+  void end_lost_plays(int server, const char *reason, std::uint64_t &counter, const std::vector<int> &lost);
   void count_unapplied(int server, int play, std::string_view method);
   LoadReport load_report_of(const rtsp::Message &message);
   // Schedules the next check of all servers that hold plays or have a peer.
@@ -157,6 +181,7 @@
   // Servers with a peer: those to which something is to be sent, or was sent lately.
   SortedIndices servers_with_peer_;
   std::deque<EarlyRelease> early_releases_;
+  RungNoteEvidence rung_notes_;
   std::uint64_t next_serial_ = 1;
   // Number of servers that have not left.
   std::size_t listed_count_ = 0;
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -37,6 +37,13 @@
       readers[&connection].deliver_last(handle);
     };
   }
+  // An open connection of the front end, or null.
+  RawServer::Connection *find_open() const {
+    for (const auto &connection : server.connections) {
+      if (!connection->closed) return connection.get();
+    }
+    return nullptr;
+  }
   static std::string answer(const std::string &session, int status, const std::string &body = "") {
     rtsp::Message message;
     message.status = status;
