Notes that come with set-ups are no evidence that older sessions have gone

After a lost connection, sessions that stand could be ended where five set-ups followed within 6.5 s.

Cause: notes_exclude_older takes each note for one of a session chosen by chance. A server sends a note with each set-up, and that one always names the new session.

Fix: a note within the longest delay of a message after its session's start does not count.

--- a/src/platform/liveness.cpp
+++ b/src/platform/liveness.cpp
@@ -37,7 +37,8 @@
 
 void Liveness::note_received(double now, double session_started) {
   session_message_received(now, session_started);
-  if (connection_lost_at_ >= 0) ++newer_notes_;
+  bool may_belong_to_set_up = now - session_started <= settings_->max_message_delay;
+  if (connection_lost_at_ >= 0 && !may_belong_to_set_up) ++newer_notes_;
 }
 
 bool Liveness::notes_exclude_older(std::size_t newer, std::size_t older) const {
--- a/src/platform/liveness.h
+++ b/src/platform/liveness.h
@@ -40,7 +40,8 @@
   // to a set-up counts too. A server that holds such sessions sends one at least every message_interval
   // seconds.
   void session_message_received(double now, double session_started);
-  // The message is a note, which names one of the sessions of this front end that the server holds.
+  // The message is a note, which names one of the sessions of this front end that the server holds. A note on
+  // a session that was just set up comes with its answer, whatever else the server holds, and is no evidence.
   void note_received(double now, double session_started);
   // Whether the notes since the last undecided connection loss show that the server holds none of the older
   // sessions: none of the notes named one. newer, older: numbers of sessions that were set up since and
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -382,6 +382,21 @@
   }
 }
 
+// Guards against ending sessions that stand, after a lost connection, for the notes that come with set-ups.
+TEST_CASE("liveness: notes of set-ups are taken for evidence that older sessions are gone") {
+  platform::LivenessSettings settings;
+  settings.message_interval = 4;
+  platform::Liveness server(settings);
+  server.session_message_received(10, 5);
+  server.connection_lost(10.5);
+  for (double set_up_at = 11; set_up_at < 17; set_up_at += 0.2) server.note_received(set_up_at, set_up_at);
+  CHECK_FALSE(server.notes_exclude_older(30, 1));
+  CHECK_FALSE(server.notes_exclude_older(5, 5));
+  // Periodic notes are evidence.
+  for (int i = 0; i < 5; ++i) server.note_received(17, 11);
+  CHECK(server.notes_exclude_older(5, 5));
+}
+
 TEST_CASE("liveness: a server is judged by its connections and by the data on them") {
   using Verdict = platform::Liveness::Verdict;
   platform::LivenessSettings settings;
