--- a/cmake/program_tests.cmake
+++ b/cmake/program_tests.cmake
@@ -96,6 +96,14 @@
          COMMAND snowshore-lab soak --seed 7 --front-ends 3 --servers 8 --core-share 1 --lasts 16 --rate 10 --session 6
                  --only address_takeover --out ${CMAKE_BINARY_DIR}/soak/address-takeover)
 set_tests_properties(soak.address-takeover PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
+# A zone is lost with its front ends, which return before, with or after its servers; with and without the note of
+# the rung after a hand-over.
+foreach(seed 4 7)
+  add_test(NAME soak.zone-loss.${seed}
+           COMMAND snowshore-lab soak --seed ${seed} --front-ends 4 --servers 12 --core-share 1 --lasts 22 --rate 8 --session 20
+                   --only zone_loss --out ${CMAKE_BINARY_DIR}/soak/zone-loss-${seed})
+  set_tests_properties(soak.zone-loss.${seed} PROPERTIES LABELS days TIMEOUT 120 RUN_SERIAL ON)
+endforeach()
 # A front end that is broken on purpose is found.
 add_test(NAME soak.finds-lost COMMAND snowshore-lab soak --seed 21 --front-ends 2 --servers 20 --lasts 4 --no-faults --break lost
                                       --out ${CMAKE_BINARY_DIR}/soak/lost)
--- a/src/cli/soak.cpp
+++ b/src/cli/soak.cpp
@@ -1,5 +1,7 @@
 #include "cli/soak.h"
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <filesystem>
 #include <map>
@@ -26,7 +28,8 @@
 SoakCommand::SoakCommand(CLI::App &app)
     : command_(app.add_subcommand(
           "soak", "Real front ends under traffic and overlapping faults, judged by what others saw")) {
-  options_.output_folder = "soak-out";
+  // Runs beside each other take different folders.
+  options_.output_folder = "soak-out-" + std::to_string(::getpid());
   command_->add_option("--seed", seed_, "Seed from which deployment, traffic and faults are drawn")
       ->capture_default_str();
   command_->add_option("--seeds", seeds_, "Range A..B of seeds, run one after another");
@@ -52,10 +55,9 @@
                      "Inject only faults of the kinds up to bad_clients");
   command_->add_flag("--table", table_only_, "Print no description of the scenario before the result");
   command_->add_option("--break", broken_rule_, "Break this rule on purpose, to check that it is reported");
-  command_
-      ->add_option("--out", options_.output_folder,
-                   "Folder for configurations and logs; deleted and created anew")
-      ->capture_default_str();
+  command_->add_option(
+      "--out", options_.output_folder,
+      "Folder for configurations and logs; deleted and created anew (default: soak-out-PID)");
   command_->add_option("--program", options_.program,
                        "Path of the front end's program (default: next to this one)");
 }
--- a/src/soak/clients.cpp
+++ b/src/soak/clients.cpp
@@ -289,8 +289,10 @@
       std::string server = server_name_of(session);
       if (server.empty()) continue;
       connection->sessions.insert(session);
-      connection->stream->send(start_line(session, requests_[session], server),
-                               [this, session] { ledger_.session_handed_over(session); });
+      connection->stream->send(start_line(session, requests_[session], server), [this, session] {
+        ledger_.session_handed_over(session);
+        on_handed_over(session);
+      });
     }
   });
 }
--- a/src/soak/clients.h
+++ b/src/soak/clients.h
@@ -21,6 +21,8 @@
   // Returns the name in the list of the server that holds the session, for the field `at` of a hand-over;
   // empty if there is none.
   std::function<std::string(std::uint64_t session)> server_name_of;
+  // Called when the hand-over of a session has been written.
+  std::function<void(std::uint64_t)> on_handed_over;
 
   // Hands the active sessions over, once the first health check has passed.
   void on_front_ready();
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -57,6 +57,10 @@
       std::uint32_t id = ledger_.server_id_of(session);
       return id == 0 ? std::string() : server_name(id);
     };
+    clients_.back()->on_handed_over = [this](std::uint64_t session) {
+      int s = ledger_.server_of(session);
+      if (scenario_.deployment.rung_notes && s >= 0) server(s).send_rung_note(session);
+    };
   }
 }
 
@@ -246,6 +250,21 @@
   });
 }
 
+void Fleet::lose_server(int index, double lost_for, double told_delay) {
+  StandInServer &lost = server(index);
+  if (!lost.is_running() || !being_replaced_.insert(index).second) return;
+  lost.crash();
+  run_after(lost_for, [this, index, told_delay] {
+    server(index).start(true);
+    ledger_.server_replaced(index);
+    run_after(told_delay, [this, index] {
+      ledger_.replacement_told(index, discovery_.last_change() + 1);
+      discovery_.apply_change({list_entry(index)});
+      being_replaced_.erase(index);
+    });
+  });
+}
+
 void Fleet::take_over_address(int index) {
   StandInServer &ended = server(index);
   auto listed = discovery_.list().find(ended.id());
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -43,6 +43,9 @@
   void repeat_list_entry(int server);
   // Crashes the server and starts it cold after the delay in seconds, with a new id if asked for.
   void restart_server(int server, double restart_delay, bool new_id);
+  // The server ends and starts cold at the same address after `lost_for` seconds; the list tells of that
+  // `told_delay` seconds later.
+  void lose_server(int index, double lost_for, double told_delay);
 
   // Ends the server's process; another server's process starts at its address after a delay, and the list
   // tells of either up to kTakeoverToldWithin seconds later, in any order.
--- a/src/soak/ledger.cpp
+++ b/src/soak/ledger.cpp
@@ -170,6 +170,8 @@
   if (!record) return;
   add_note(session, format_text("client is told that its session is over, cause %d", cause));
   if (record->end_reported_at < 0) {
+    counts_.handed_over_ended_early +=
+        record->handed_over_at >= 0 && record->ended_at < 0 && record->client_ended_at < 0;
     record->end_reported_at = now();
     ++counts_.ends_reported;
   }
@@ -450,6 +452,11 @@
   }
 }
 
+int Ledger::server_of(std::uint64_t session) const {
+  auto it = sessions_.find(session);
+  return it == sessions_.end() ? -1 : it->second.server;
+}
+
 std::uint32_t Ledger::server_id_of(std::uint64_t session) const {
   auto it = sessions_.find(session);
   return it == sessions_.end() ? 0 : it->second.server_id;
@@ -587,13 +594,14 @@
   return format_text(
       "%llu asked: %llu active, %llu refused, %llu failed, %llu left, %llu not owed; %llu attempts, %llu "
       "ends told, "
-      "%llu handed over, %llu restarts",
+      "%llu handed over (%llu ended early), %llu restarts",
       static_cast<unsigned long long>(counts_.requests), static_cast<unsigned long long>(counts_.active),
       static_cast<unsigned long long>(counts_.refused), static_cast<unsigned long long>(counts_.failed),
       static_cast<unsigned long long>(counts_.given_up), static_cast<unsigned long long>(counts_.waived),
       static_cast<unsigned long long>(counts_.attempts),
       static_cast<unsigned long long>(counts_.ends_reported),
       static_cast<unsigned long long>(counts_.handed_over),
+      static_cast<unsigned long long>(counts_.handed_over_ended_early),
       static_cast<unsigned long long>(counts_.restarts));
 }
 
--- a/src/soak/ledger.h
+++ b/src/soak/ledger.h
@@ -117,6 +117,9 @@
   // Returns the list id of the server at which the session is or was active, as it was then; 0 if none.
   std::uint32_t server_id_of(std::uint64_t session) const;
 
+  // Returns the server at which the session is or was active; negative if none.
+  int server_of(std::uint64_t session) const;
+
   // Runs the checks that have come due by `time`.
   void run_due_checks(double time);
   // Judges at the end of the run everything that is still owed. Calls after the first have no effect.
@@ -128,8 +131,8 @@
   std::string summary() const;
   struct Counts {
     std::uint64_t requests = 0, active = 0, refused = 0, failed = 0, given_up = 0, waived = 0, attempts = 0,
-                  ends_reported = 0, handed_over = 0, restarts = 0, late_restarts = 0,
-                  attempts_after_giving_up = 0;
+                  ends_reported = 0, handed_over = 0, handed_over_ended_early = 0, restarts = 0,
+                  late_restarts = 0, attempts_after_giving_up = 0;
   };
   const Counts &counts() const { return counts_; }
   // Adds a line to the session's timeline.
--- a/src/soak/scenario.cpp
+++ b/src/soak/scenario.cpp
@@ -14,9 +14,13 @@
 constexpr double kKillDelay = 0.7;
 // The share of scenarios that contain a fault kind of the second stream.
 constexpr double kSecondStreamShare = 0.5;
+// The share of scenarios whose servers send the note of the rung after a hand-over.
+constexpr double kRungNotesShare = 0.5;
 // Seconds at the start and at the end of the traffic in which no fault begins.
 constexpr double kFaultFreeStart = 3;
 constexpr double kFaultFreeEnd = 4;
+// Seconds from the loss of a zone until its front ends are back and what was handed over to them is released.
+constexpr double kZoneLossTime = 14;
 
 constexpr const char *kFaultNames[] = {"term_series",      "kill",
                                        "reload_series",    "discovery_down",
@@ -29,7 +33,8 @@
                                        "list_churn",       "late_connections",
                                        "single_bytes",     "slow_answers",
                                        "spoilt_answers",   "idle_clients",
-                                       "bad_clients",      "address_takeover"};
+                                       "bad_clients",      "address_takeover",
+                                       "zone_loss"};
 static_assert(std::size(kFaultNames) == kFaultKindCount);
 
 std::vector<ServiceClass> draw_classes(SeededRng &rng, double deadline) {
@@ -100,6 +105,10 @@
   if (kind == FaultKind::term_series) out.share = rng.uniform(0.3, 0.9);
   if (kind == FaultKind::servers_replaced) out.share = rng.uniform(0.2, 0.6);
   if (kind == FaultKind::discovery_down) out.duration = rng.uniform(2, 9);
+  if (kind == FaultKind::zone_loss) {
+    out.start = rng.uniform(kFaultFreeStart, std::max(kFaultFreeStart + 1, traffic_duration - kZoneLossTime));
+    out.share = rng.uniform(0.3, 0.8);
+  }
   return out;
 }
 
@@ -113,6 +122,10 @@
   }
 }
 
+bool draw_rung_notes(std::uint64_t seed) {
+  return SeededRng(seed * 0xd6e8feb86659fd93ULL + 3).bernoulli(kRungNotesShare);
+}
+
 } // namespace
 
 double SeededRng::exponential(double mean) { return -mean * std::log(1 - uniform(0, 1)); }
@@ -136,6 +149,7 @@
   out.traffic_duration = overrides.traffic_duration > 0 ? overrides.traffic_duration : rng.uniform(16, 24);
   out.deployment = draw_deployment(rng, overrides);
   out.traffic = draw_traffic(rng, overrides, out.traffic_duration);
+  if (!overrides.first_stream_only) out.deployment.rung_notes = draw_rung_notes(seed);
   if (overrides.no_faults) {
     out.traffic.crowd_start = -1;
     return out;
@@ -169,7 +183,7 @@
                   service_class.effect.c_str(), service_class.deadline);
     out += line;
   }
-  out += "; faults";
+  out += d.rung_notes ? "; rung notes; faults" : "; faults";
   for (const Fault &fault : scenario.faults) {
     std::snprintf(line, sizeof line, " %s@%.1f+%.1f", name_of(fault.kind), fault.start, fault.duration);
     out += line;
--- a/src/soak/scenario.h
+++ b/src/soak/scenario.h
@@ -50,6 +50,8 @@
   double connect_timeout = 0.25, idle_timeout = 30; // seconds
   // A server that holds sessions of a front end sends it one note per interval, in seconds.
   double note_interval = 1;
+  // Servers send the note of the rung on a session that is handed over.
+  bool rung_notes = false;
   // Seconds in which set-ups may still reach a server after the front end learned that it leaves, and the
   // sessions that one server holds.
   double drain_grace = 1, slots_per_server = 40;
@@ -106,8 +108,12 @@
   // Servers end, and other servers' processes listen at their addresses at once or soon; the list tells of
   // the end and of the start up to 2.5 s later, in any order. The new servers close connections now and then.
   address_takeover,
+  // The servers of a zone and some front ends end at once; the servers return 5 s later as new processes at
+  // their
+  // addresses, of which the list tells up to 2.5 s later, and the front ends before, with or after them.
+  zone_loss,
 };
-inline constexpr int kFaultKindCount = static_cast<int>(FaultKind::address_takeover) + 1;
+inline constexpr int kFaultKindCount = static_cast<int>(FaultKind::zone_loss) + 1;
 // The kinds up to bad_clients are drawn from one stream of chance and the later ones from another, so that a
 // seed's earlier faults stay what they were.
 inline constexpr int kFirstStreamKinds = static_cast<int>(FaultKind::bad_clients) + 1;
--- a/src/soak/servers.cpp
+++ b/src/soak/servers.cpp
@@ -160,6 +160,7 @@
   events.on_closed = [this, connection] { on_closed(connection); };
   connection->stream->start(std::move(events));
   resend_releases(connection->front, connection);
+  send_owed_rung_notes(connection->front);
 }
 
 void StandInServer::on_closed(const ConnectionRef &connection) {
@@ -181,8 +182,9 @@
 
 void StandInServer::on_set_up(const ConnectionRef &connection, std::uint64_t session,
                               const RtspMessage &message) {
-  ledger_.attempt_arrived(session, index_, std::atoi(message.header("P-Level").c_str()), connection->front,
-                          connection->stream->opened_at());
+  int rung = std::atoi(message.header("P-Level").c_str());
+  ledger_.attempt_arrived(session, index_, rung, connection->front, connection->stream->opened_at());
+  connection->rungs[session] = rung;
   connection->open_set_ups.insert(session);
   connection->has_carried_set_up = true;
   if (behaviour.hangs) return;
@@ -225,13 +227,31 @@
   ledger_.session_active(session, index_, id_, description);
   Session &record = sessions_[session];
   record = {connection->front, now() + 0.2 + rng_.exponential(scenario_.traffic.mean_session_length),
-            connection};
+            connection, connection->rungs[session]};
   std::string text = format_rtsp_answer(id, 1, 200, kGauges, description);
   if (rng_.bernoulli(behaviour.duplicate_share))
     text = format_rtsp_answer(hex16(rng_.next_u64()), 1, 200, "", "x") + text + text;
   connection->stream->send(text);
 }
 
+void StandInServer::send_rung_note(std::uint64_t session) {
+  auto it = sessions_.find(session);
+  if (it == sessions_.end() || !running_ || behaviour.hangs) return;
+  it->second.owes_rung_note = true;
+  send_owed_rung_notes(it->second.front);
+}
+
+void StandInServer::send_owed_rung_notes(int front) {
+  for (auto &[session, record] : sessions_) {
+    if (record.front != front || !record.owes_rung_note) continue;
+    auto connection = find_open_connection(front, record.connection);
+    if (!connection) return;
+    record.owes_rung_note = false;
+    connection->stream->send(format_rtsp_request(
+        "ANNOUNCE", hex16(session), "X-Outcome: rung\r\nP-Amount: " + std::to_string(record.rung) + "\r\n"));
+  }
+}
+
 void StandInServer::on_release(const ConnectionRef &connection, std::uint64_t session,
                                const RtspMessage &message) {
   if (connection->open_set_ups.erase(session) > 0) {
--- a/src/soak/servers.h
+++ b/src/soak/servers.h
@@ -51,6 +51,9 @@
   void reset_connections(double share);
   // Stalls the open connections of one front end.
   void set_front_stalled(int front, bool stalled);
+  // The session has been handed over: sends the note of its rung, on the next connection from its front end
+  // where none is open.
+  void send_rung_note(std::uint64_t session);
   void set_id(std::uint32_t id) { id_ = id; }
   void set_single_bytes(bool on) { faults_->single_bytes = on; }
   void set_delay(double seconds) { faults_->delay = seconds; }
@@ -70,6 +73,7 @@
     int front = 0;
     bool has_carried_set_up = false;
     std::set<std::uint64_t> open_set_ups; // sessions whose set-up on this connection has no answer yet
+    std::map<std::uint64_t, int> rungs;   // of the set-ups on this connection, by session
     double last_used_at = 0;
   };
   using ConnectionRef = std::shared_ptr<Connection>;
@@ -77,6 +81,8 @@
     int front = 0;
     double ends_at = 0;
     std::weak_ptr<Connection> connection; // on which the session was set up
+    int rung = 0;
+    bool owes_rung_note = false;
   };
   // A release of an ended session. It is sent at once where a connection is open, else on the next one from
   // the front end, and once more on the one after that, since the first may be lost. Some servers don't
@@ -90,6 +96,7 @@
   void on_message(const ConnectionRef &connection, const RtspMessage &message);
   void on_set_up(const ConnectionRef &connection, std::uint64_t session, const RtspMessage &message);
   void send_answer(const ConnectionRef &connection, std::uint64_t session, double deadline);
+  void send_owed_rung_notes(int front);
   void on_release(const ConnectionRef &connection, std::uint64_t session, const RtspMessage &message);
   void on_closed(const ConnectionRef &connection);
   void end_session(std::uint64_t session, const char *reason, bool sends_release);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -17,6 +17,10 @@
 // Servers at another's address close connections at this interval, each with this probability, until this
 // many seconds after the last of them has started.
 constexpr double kTakeoverCloseInterval = 0.5, kTakeoverCloseShare = 0.2, kTakeoverCloseTime = 8;
+// Seconds for which a zone is lost, by which the list may be late to tell of its servers' start, and for
+// which its front ends are away at most; the share of the servers that are lost where there are no zones.
+constexpr double kZoneLostFor = 5, kLossToldWithin = 2.5, kLongestFrontAbsence = 10,
+                 kLostShareWithoutZones = 0.3;
 constexpr std::size_t kMaxTimelines = 3; // The timelines that a result holds at most.
 constexpr int kMaxIdleConnections = 300; // The silent connections that are opened to one front end at most.
 
@@ -61,6 +65,7 @@
   void isolate_front(const Fault &fault);
   void delay_connections(const Fault &fault);
   void take_over_addresses(const Fault &fault);
+  void lose_zone(const Fault &fault);
 
   Fleet &fleet_;
   const Scenario &scenario_;
@@ -183,6 +188,18 @@
   });
 }
 
+void FaultInjector::lose_zone(const Fault &fault) {
+  SeededRng &rng = fleet_.rng();
+  const Deployment &deployment = scenario_.deployment;
+  std::vector<int> servers = random_servers(kLostShareWithoutZones);
+  if (deployment.zones > 1) {
+    servers.clear();
+    for (int s = 0; s < deployment.servers; s += deployment.zones) servers.push_back(s);
+  }
+  for (int s : servers) fleet_.lose_server(s, kZoneLostFor, rng.uniform(0, kLossToldWithin));
+  for (int f : random_fronts(fault.share)) fleet_.kill(f, rng.uniform(0.2, kLongestFrontAbsence));
+}
+
 void FaultInjector::inject(const Fault &fault) {
   SeededRng &rng = fleet_.rng();
   switch (fault.kind) {
@@ -249,6 +266,8 @@
     });
   case FaultKind::address_takeover:
     return take_over_addresses(fault);
+  case FaultKind::zone_loss:
+    return lose_zone(fault);
   }
 }
 
