After a pause nothing new is placed before what arrived meanwhile has been read

Cause: one class, the moment of reading taken for the moment of arrival: placement before the channel is read, a pause taken for a sign of life, requests counted from when they are read.

Fix: telemetry/loop_pauses.h is the only place that notices pauses.

--- a/src/decision/policy.cpp
+++ b/src/decision/policy.cpp
@@ -237,7 +237,7 @@
         std::min(now_ + request.time_left.value_or(time_limits_[to_size(request.product)]), shutdown_at_);
     play.first_frame_deadline =
         now_ + std::min(first_frame_targets_[to_size(request.product)], play.deadline - now_);
-    retry_budget_.request_accepted(now_);
+    retry_budget_.request_accepted(now_ - request.taken_ago);
     for (DecayingRate *rate : {&recent_request_rate_, &usual_request_rate_}) rate->add_event(now_);
     set_state(index, PlayState::pending);
     if (probe_candidates(index)) {
--- a/src/decision/policy.h
+++ b/src/decision/policy.h
@@ -67,6 +67,8 @@
   int title = 0;
   // Seconds until the viewer gives up.
   std::optional<double> time_left;
+  // Seconds since the front end may have taken the request; it is read later where the process did not run.
+  double taken_ago = 0;
   // Seconds that the play may last.
   std::optional<double> duration_hint;
   // The title lies in this many cells, from first_cell on.
--- a/src/decision/retry_budget.h
+++ b/src/decision/retry_budget.h
@@ -1,5 +1,6 @@
 // The retry budget: in each sliding window, a fixed number of retries plus a share of the requests accepted
-// in it. There is no clock: the time comes with each call, in seconds, and never decreases.
+// in it. There is no clock: the time comes with each call, in seconds. A request counts from when it was
+// taken, which may be before earlier calls.
 #pragma once
 #include <algorithm>
 #include <vector>
@@ -18,9 +19,9 @@
   };
   void set_settings(const Settings &settings) { settings_ = settings; }
 
-  void request_accepted(double now) {
-    std::erase_if(requests_, [&](double at) { return at <= now - settings_.window; });
-    if (settings_.window > 0) requests_.push_back(now);
+  void request_accepted(double taken_at) {
+    std::erase_if(requests_, [&](double at) { return at <= taken_at - settings_.window; });
+    if (settings_.window > 0) requests_.push_back(taken_at);
   }
   // Returns whether one more retry fits into the budget.
   bool allows(double now) {
@@ -34,7 +35,7 @@
 
  private:
   Settings settings_;
-  // Times of requests and of retries within the window, ascending.
+  // Times of requests and of retries within the window.
   std::vector<double> requests_, retries_;
 };
 
--- a/src/edge/core.cpp
+++ b/src/edge/core.cpp
@@ -93,8 +93,8 @@
            ServerGateway &server_gateway, DecisionEngineFactory engine_factory)
     : io_(io), settings_(std::move(settings)), log_(log), player_gateway_(player_gateway),
       server_gateway_(server_gateway), counters_(std::make_unique<Counters>(metrics_)), send_guard_(log, 0),
-      engine_timer_(io), deadline_timer_(io), shutdown_timer_(io), list_source_(std::move(list_source)),
-      engine_factory_(std::move(engine_factory)) {
+      engine_timer_(io), deadline_timer_(io), catch_up_timer_(io), shutdown_timer_(io),
+      list_source_(std::move(list_source)), engine_factory_(std::move(engine_factory)) {
   std::random_device device;
   seed_ = settings_.seed ? settings_.seed : (std::uint64_t{device()} << 32 | device());
   for (const std::string &hall : settings_.halls) halls_.index_of(hall);
@@ -190,7 +190,45 @@
       request.time_left.value_or(settings_.products[static_cast<std::size_t>(request.product)].time_limit);
   deadlines_.push({play.deadline + settings_.answer_slack / 2, {index, play.serial}});
   play.processing_since = clock_.read_now() - reading_time;
-  call_engine([&] { engine_->play_requested(index, request); });
+  if (!is_catching_up()) return pass_to_engine(play_ref(index), request, 0);
+  // It may have arrived as early as the pause began.
+  play.is_withheld = true;
+  call_when_caught_up([this, ref = play_ref(index), request, taken_ago = pauses_.length()] {
+    pass_to_engine(ref, request, taken_ago);
+  });
+}
+
+void Core::pass_to_engine(const PlayRef &ref, PlayRequest request, double taken_ago) {
+  if (!is_current(ref)) return;
+  PlayRecord &play = plays_.at(ref.index);
+  play.is_withheld = false;
+  request.taken_ago = taken_ago;
+  play.deadline -= taken_ago;
+  if (taken_ago > 0 && play.deadline <= clock_.read_now()) {
+    decline_play(ref.index,
+                 SettingsReader(settings_.decision_settings).number(setting_names::kLongestRetryAfter, 0));
+    return forget_play(ref.index);
+  }
+  if (taken_ago > 0) request.time_left = play.deadline - clock_.read_now();
+  call_engine([&] { engine_->play_requested(ref.index, request); });
+}
+
+void Core::call_when_caught_up(std::function<void()> call) {
+  withheld_calls_.push_back(std::move(call));
+  if (withheld_calls_.size() > 1) return;
+  log_.warning("pause", {{"length", pauses_.length()}});
+  run_withheld_calls();
+}
+
+void Core::run_withheld_calls() {
+  catch_up_timer_.expires_after(to_timer_duration(pauses_.caught_up_at() - clock_.read_now()));
+  catch_up_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
+    if (error || alive.expired()) return;
+    // Another pause may have followed.
+    if (is_catching_up()) return run_withheld_calls();
+    auto calls = std::exchange(withheld_calls_, {});
+    for (auto &call : calls) call();
+  });
 }
 
 std::optional<PlayRef> Core::accept_handover(std::uint64_t id, const std::string &title,
@@ -232,6 +270,7 @@
     log_.info("left", {{"session", settings::format_hex16(play.id)},
                        {"state", name_of(play.state)},
                        {"after", clock_.read_now() - play.requested_at}});
+  if (play.is_withheld) return forget_play(index);
   if (play.state == PlayState::requested) {
     // The engine calls forget_play() for it.
     call_engine([&] { engine_->viewer_left(index); });
@@ -366,6 +405,9 @@
   int index = ref.index;
   PlayRecord &play = plays_.at(index);
   if (play.state != PlayState::allocating || play.allocation != allocation) return;
+  // The engine may try another server.
+  if (!result.started && is_catching_up())
+    return call_when_caught_up([this, ref, allocation, result] { set_up_ended(ref, allocation, result); });
   send_guard_.attempt_finished(play.id);
   play.processing_since = clock_.read_now();
   counters_->allocations(result.outcome).Increment();
@@ -478,6 +520,7 @@
 }
 
 void Core::on_engine_timer() {
+  if (is_catching_up()) return call_when_caught_up([this] { on_engine_timer(); });
   double now = clock_.now();
   // A timer that is due within 0.1 ms is passed on at once.
   while (!timers_.empty() && timers_.top().at <= now + 1e-4) {
@@ -495,6 +538,7 @@
   deadline_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
     double now = clock_.now();
+    pauses_.beat(clock_.read_now());
     while (!deadlines_.empty() && deadlines_.top().at <= now) {
       PlayRef ref = deadlines_.top().ref;
       deadlines_.pop();
--- a/src/edge/core.h
+++ b/src/edge/core.h
@@ -13,6 +13,7 @@
 #include "registry/server_registry.h"
 #include "telemetry/log.h"
 #include "telemetry/loop_clock.h"
+#include "telemetry/loop_pauses.h"
 #include "telemetry/metrics.h"
 
 #include <asio.hpp>
@@ -116,6 +117,8 @@
   void player_left(int play);
   // The player ended its running play.
   void play_released(int play);
+  // Whether the process has just gone on after a pause, so that what arrived meanwhile is still being read.
+  bool is_catching_up() { return pauses_.is_catching_up(clock_.read_now()); }
   // Begins the shutdown: at `deadline` each play without an answer fails, and no set-up continues past that
   // time.
   void shut_down_by(double deadline);
@@ -236,6 +239,12 @@
   // Asks the guard right before the play's only answer is sent, and marks the play as answered.
   bool may_answer(int play);
   void end_stale_handover(const PlayRef &ref);
+  // Passes the request to the engine, or declines it where its time was over before it could be read.
+  // taken_ago: seconds since it may have been taken.
+  void pass_to_engine(const PlayRef &ref, PlayRequest request, double taken_ago);
+  // Makes the call once the front end has caught up after the pause that has just ended.
+  void call_when_caught_up(std::function<void()> call);
+  void run_withheld_calls();
   // Seconds for which a leaving server still accepts set-ups, from the settings.
   double drain_grace() const;
 
@@ -257,6 +266,9 @@
   RefCountedIdTable<std::string> titles_;
   IdTable<std::string> halls_, kinds_;
   CallDurations call_durations_;
+  telemetry::LoopPauses pauses_;
+  // Calls that wait until the front end has caught up, in order.
+  std::deque<std::function<void()>> withheld_calls_;
   std::uint64_t list_version_ = 0;
   double list_at_ = 0, last_allocation_at_ = -1e9;
   // When this run of the front end started.
@@ -265,7 +277,7 @@
   bool has_list_ = false, engine_has_list_ = false, applying_ = false;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>> deadlines_;
-  asio::steady_timer engine_timer_, deadline_timer_, shutdown_timer_;
+  asio::steady_timer engine_timer_, deadline_timer_, catch_up_timer_, shutdown_timer_;
   // Infinite, in effect, until a shutdown begins.
   double shutdown_at_ = 1e18;
   std::unique_ptr<ListSource> list_source_;
--- a/src/edge/play_table.h
+++ b/src/edge/play_table.h
@@ -74,6 +74,8 @@
   // Seconds that the front end itself has spent on the play, and when it last began to work on it.
   double processing_time = 0, processing_since = 0;
   FailureCause cause = FailureCause::none;
+  // The play has not been passed to the engine yet.
+  bool is_withheld = false;
   // The play's only answer has been sent.
   bool answered = false;
   // Position among the plays that run on its server, see playing_at().
--- a/src/platform/rtsp_server_gateway.cpp
+++ b/src/platform/rtsp_server_gateway.cpp
@@ -17,8 +17,8 @@
 
 namespace {
 
-// Seconds. Two checks that are further apart than the threshold show that this process did not run meanwhile.
-constexpr double kCheckInterval = 0.1, kStallThreshold = 1;
+// Seconds.
+constexpr double kCheckInterval = 0.1;
 constexpr std::size_t kMaxEarlyReleases = 1024, kMaxConnectionsPerServer = 8;
 
 // Values of a note's X-Outcome header.
@@ -288,9 +288,6 @@
   check_timer_.expires_after(to_timer_duration(kCheckInterval));
   check_timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](asio::error_code error) {
     if (error || alive.expired()) return;
-    double now = core_->clock().now();
-    // Data that arrived while this process did not run is still unread, so no server counts as silent now.
-    bool was_stalled = now - std::exchange(last_check_at_, now) > kStallThreshold;
     SortedIndices servers_to_check = core_->plays().servers_with_plays();
     for (int s : servers_with_peer_) servers_to_check.add(s);
     for (int s : servers_to_check) {
@@ -300,7 +297,7 @@
       // Callbacks of maintain() may have forgotten the server.
       if (!server_slot(s)) continue;
       if (plays_at(s) > 0)
-        check_server(s, was_stalled);
+        check_server(s);
       else if (server_slot(s)->peer && server_slot(s)->peer->is_unused())
         close_peer(s);
     }
@@ -308,14 +305,14 @@
   });
 }
 
-void RtspServerGateway::check_server(int server, bool was_stalled) {
+void RtspServerGateway::check_server(int server) {
   double now = core_->clock().now();
   ServerSlot &slot = *server_slot(server);
-  if (was_stalled) slot.liveness.data_received(now);
   rtsp::Peer *peer = peer_of(server);
   if (!peer) return server_lost(server, "gone", counters_.lost_gone);
-  // Messages that arrived while this process did not run are read before the next check.
-  if (!was_stalled) judge_handovers(server);
+  // What arrived while this process did not run is still unread. A pause is no sign of life, nor of silence.
+  if (core_->is_catching_up()) return;
+  judge_handovers(server);
   if (draining_) return;
   // The address of a server that has left may belong to another server.
   bool has_left = slot.entry.status == ServerStatus::left;
--- a/src/platform/rtsp_server_gateway.h
+++ b/src/platform/rtsp_server_gateway.h
@@ -121,8 +121,7 @@
   // Makes the server's peer; the peer opens connections when it needs them.
   void make_peer(int server);
   void close_peer(int server);
-  // was_stalled: this process did not run for a while, so that the server's silence proves nothing.
-  void check_server(int server, bool was_stalled);
+  void check_server(int server);
   void set_up_ended(int server, std::uint64_t session, rtsp::EndReason end, const rtsp::Message *message,
                     double duration);
   // A message about a session, on a connection to the server's address. It counts for the session's server
@@ -185,8 +184,6 @@
   std::uint64_t next_serial_ = 1;
   // Number of servers that have not left.
   std::size_t listed_count_ = 0;
-  // Time of the last run of check_servers(), on the core's clock.
-  double last_check_at_ = 0;
   bool draining_ = false;
   asio::steady_timer check_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -110,6 +110,26 @@
   }
 };
 
+// Keeps handshakes with the server unfinished: its system drops them while the queue for accept() is full.
+struct FullBacklog {
+  RawServer &server;
+  std::vector<asio::ip::tcp::socket> fillers;
+  FullBacklog(asio::io_context &io, RawServer &stalled) : server(stalled) {
+    server.acceptor.cancel();
+    ::listen(server.acceptor.native_handle(), 0);
+    for (int i = 0; i < 4; ++i) {
+      fillers.emplace_back(io);
+      fillers.back().async_connect(server.acceptor.local_endpoint(), [](asio::error_code) {});
+    }
+    run_for(io, 0.05);
+  }
+  void release() {
+    fillers.clear();
+    ::listen(server.acceptor.native_handle(), 16);
+    server.accept();
+  }
+};
+
 // The front end under test with its surroundings. Members run the event loop on the calling thread.
 struct PlatformScene {
   asio::io_context io;
