Ends of sessions go out on any connection that viewers use, and in bursts

Cause: only an answered set-up or a hand-over made a connection fit to carry ends. A burst of ends written in one turn of the loop counted as unread, and cut the connection.

Fix: a connection with a well-formed request carries ends where no trusted one is open; ends wait 60 s for one in place of 8; an end that would fill over half of a connection's limit is tried again 0.02 s later.

--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -46,7 +46,8 @@
   // close_when_idle: the connection is closed when no request is open on it.
   // peer_closed: the viewer has closed its side, though not all of its bytes may have been read.
   // write_failed: nothing can be sent any more; what was received is still handled.
-  bool trusted = false, close_when_idle = false, peer_closed = false, write_failed = false;
+  // requested: a viewer has made a request on it.
+  bool trusted = false, requested = false, close_when_idle = false, peer_closed = false, write_failed = false;
   // Steady-clock seconds. awaiting_since: since when a complete line is awaited; negative when none is.
   double awaiting_since = 0, received_at = 0;
   explicit Connection(asio::ip::tcp::socket s) : socket(std::move(s)) {}
@@ -371,19 +372,39 @@
     it->second->trusted = true, latest_trusted_ = id;
 }
 
-std::optional<Server::ConnectionId> Server::latest_trusted() const {
-  if (auto latest = connections_.find(latest_trusted_);
-      latest != connections_.end() && !latest->second->write_failed)
-    return latest_trusted_;
+template <class Condition>
+std::optional<Server::ConnectionId> Server::latest_heard(Condition qualifies) const {
   const Connection *best = nullptr;
   for (const auto &[id, connection] : connections_) {
-    if (connection->trusted && connection->state == State::active && !connection->write_failed &&
+    if (qualifies(*connection) && connection->state == State::active && !connection->write_failed &&
         (!best || connection->received_at > best->received_at))
       best = connection.get();
   }
   return best ? std::optional(best->id) : std::nullopt;
 }
 
+std::optional<Server::ConnectionId> Server::latest_trusted() const {
+  if (auto latest = connections_.find(latest_trusted_);
+      latest != connections_.end() && !latest->second->write_failed)
+    return latest_trusted_;
+  return latest_heard([](const Connection &connection) { return connection.trusted; });
+}
+
+void Server::mark_requested(ConnectionId id) {
+  if (auto it = connections_.find(id); it != connections_.end()) it->second->requested = true;
+}
+
+std::optional<Server::ConnectionId> Server::connection_for_ends() const {
+  if (auto trusted = latest_trusted()) return trusted;
+  return latest_heard([](const Connection &connection) { return connection.requested; });
+}
+
+bool Server::has_room_for_end(ConnectionId id, std::size_t bytes) const {
+  auto it = connections_.find(id);
+  if (it == connections_.end()) return false;
+  return it->second->unsent.size() + it->second->sending.size() + bytes <= limits_.unsent_bytes / 2;
+}
+
 bool Server::is_trusted(ConnectionId id) const {
   auto it = connections_.find(id);
   return it != connections_.end() && it->second->trusted;
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -83,6 +83,13 @@
   // Returns the connection that was marked last or, when that is gone, the active trusted connection that was
   // heard from most recently.
   std::optional<ConnectionId> latest_trusted() const;
+  // Marks the connection as one on which a viewer has made a request, whatever the answer was.
+  void mark_requested(ConnectionId id);
+  // Returns latest_trusted() or, where there is none, the active connection with a request of a viewer that
+  // was heard from most recently.
+  std::optional<ConnectionId> connection_for_ends() const;
+  // Returns whether so many further bytes leave half of what the connection may have unsent to its answers.
+  bool has_room_for_end(ConnectionId id, std::size_t bytes) const;
   // Stops reading and closes the connection once everything is sent.
   void close_after_sending(ConnectionId id);
   // Closes the connection once it has no open request and everything is sent; it is read until then.
@@ -115,6 +122,8 @@
   // awaiting_first_line: no complete line was received yet. closing: input is no longer read.
   enum class State { awaiting_first_line, active, closing, closed };
   static void set_state(Connection &connection, State next);
+  // Returns the qualifying active connection that was heard from most recently.
+  template <class Condition> std::optional<ConnectionId> latest_heard(Condition qualifies) const;
   // Returns whether received data waits to be handled, here or in the socket.
   static bool has_unread_data(Connection &connection);
   void accept();
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -2,6 +2,7 @@
 #include "platform/outcome_mapping.h"
 #include "settings/hex_id.h"
 #include "settings/translation.h"
+#include "telemetry/loop_clock.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,6 +15,9 @@
 // Where a connection ends within this time of a line's sending, in seconds, the viewer may not have received
 // the line.
 constexpr double kUnconfirmedWindow = 1;
+// Seconds after which an end that no connection could carry is dropped, and after which one that a connection
+// had no room for is tried again.
+constexpr double kDeferredLifetime = 60, kDeferredRetryInterval = 0.02;
 // Ids that are remembered after their requests.
 constexpr std::size_t kMaxUsedIds = 8192;
 // Size of a set-up request to a server without the description.
@@ -39,7 +43,7 @@
 } // namespace
 
 ViewerGateway::ViewerGateway(asio::io_context &io, const NodeConfig &config, telemetry::Log &log)
-    : io_(io), config_(config), log_(log), used_ids_(kMaxUsedIds) {}
+    : io_(io), config_(config), log_(log), deferred_timer_(io), used_ids_(kMaxUsedIds) {}
 
 jsonlines::Limits ViewerGateway::limits() const {
   jsonlines::Limits limits;
@@ -165,6 +169,8 @@
     ++counters_.left_unread;
     return;
   }
+  // A well-formed request proves that viewers use the connection, whatever its answer will be.
+  server_->mark_requested(from);
   const std::string &title = *message.find_option("key");
   if (!handover_server.empty()) {
     ++counters_.handed_over;
@@ -185,7 +191,7 @@
       description_bytes_ + message.description->size() > config_.resource_limits.max_description_bytes) {
     ++counters_.no_room;
     server_->send(from, decline_line(message.tag, config_.longest_retry_after));
-    return;
+    return send_deferred_lines();
   }
   ++counters_.set_ups;
   edge::PlayRef ref = core_->add_play(message.tag, title);
@@ -330,7 +336,7 @@
 }
 
 void ViewerGateway::announce(Connection to, std::uint64_t tag, std::string line) {
-  for (auto connection : {std::optional(to), server_->latest_trusted()}) {
+  for (auto connection : {std::optional(to), server_->connection_for_ends()}) {
     if (connection && send_unconfirmed(*connection, tag, line)) return;
   }
   ++counters_.announced_later;
@@ -338,11 +344,12 @@
     ++counters_.announcements_dropped;
     deferred_lines_.pop_front();
   }
-  deferred_lines_.push_back({tag, std::move(line), core_->clock().now() + settings::kReleaseTimeLimit});
+  deferred_lines_.push_back({tag, std::move(line), core_->clock().now() + kDeferredLifetime});
+  retry_deferred_lines();
 }
 
 bool ViewerGateway::send_unconfirmed(Connection to, std::uint64_t tag, const std::string &line) {
-  if (!server_->send(to, line)) return false;
+  if (!server_->has_room_for_end(to, line.size()) || !server_->send(to, line)) return false;
   double now = core_->clock().now();
   while (!unconfirmed_ends_.empty() && (unconfirmed_ends_.front().sent_at < now - kUnconfirmedWindow ||
                                         unconfirmed_ends_.size() >= kMaxUnconfirmedEnds))
@@ -357,13 +364,25 @@
     if (next.expires_at < core_->clock().now()) {
       ++counters_.announcements_dropped;
     } else {
-      auto to = server_->latest_trusted();
-      if (!to || !send_unconfirmed(*to, next.tag, next.line)) return;
+      auto to = server_->connection_for_ends();
+      if (!to || !send_unconfirmed(*to, next.tag, next.line)) return retry_deferred_lines();
     }
     deferred_lines_.pop_front();
   }
 }
 
+void ViewerGateway::retry_deferred_lines() {
+  // Without a connection, the next request on one sends them.
+  if (is_retry_scheduled_ || !server_->connection_for_ends()) return;
+  is_retry_scheduled_ = true;
+  deferred_timer_.expires_after(telemetry::to_timer_duration(kDeferredRetryInterval));
+  deferred_timer_.async_wait([this](asio::error_code error) {
+    if (error) return;
+    is_retry_scheduled_ = false;
+    send_deferred_lines();
+  });
+}
+
 void ViewerGateway::forget_play(int play) {
   // Clears the request of a viewer that has left.
   send_answer(play, {});
--- a/src/platform/viewer_gateway.h
+++ b/src/platform/viewer_gateway.h
@@ -113,14 +113,16 @@
   std::string decline_line(std::uint64_t tag, double retry_after) const;
   // Sends the only answer to the play's set-up; an empty line ends the wait without an answer.
   void send_answer(int play, std::string line);
-  // Sends a line about a running play on its own connection, on another trusted connection, or on the next
-  // trusted one that there is.
+  // Sends a line about a running play on its own connection, on another one that viewers use, or on the next
+  // such one that there is.
   void announce(int play, std::string line);
   void announce(Connection to, std::uint64_t tag, std::string line);
   // Sends the line, and keeps it for a while in case the connection ends before it arrives. Returns false
   // where the connection cannot carry it.
   bool send_unconfirmed(Connection to, std::uint64_t tag, const std::string &line);
   void send_deferred_lines();
+  // Calls send_deferred_lines() again soon, where a connection had no room for them.
+  void retry_deferred_lines();
 
   asio::io_context &io_;
   const NodeConfig &config_;
@@ -130,6 +132,8 @@
   // By play.
   std::vector<PendingPlay> pending_plays_;
   std::deque<DeferredLine> deferred_lines_;
+  asio::steady_timer deferred_timer_;
+  bool is_retry_scheduled_ = false;
   std::deque<UnconfirmedEnd> unconfirmed_ends_;
   std::deque<EarlyFinish> early_finishes_;
   // Bytes of the descriptions in pending_plays_.
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -313,6 +313,49 @@
   CHECK_FALSE(PlatformScene::has_received(stranger, "FINISH", tag));
 }
 
+// Guards against ends that are dropped while connections of viewers are open, since all their requests were
+// refused.
+TEST_CASE("platform: an end is not sent on a connection whose requests were refused") {
+  bool connected_before = GENERATE(true, false);
+  PlatformScene scene(1);
+  RawClient &viewer = scene.connect_viewer();
+  auto [server, tag] = scene.start_play(viewer);
+  auto request_in_vain = [&, server = server] {
+    server->behavior = "full";
+    RawClient &other = scene.connect_viewer();
+    std::string refused = scene.next_tag();
+    other.send(PlatformScene::start_line(refused));
+    CHECK(scene.until([&] { return PlatformScene::has_received(other, "FINISH", refused); }));
+  };
+  viewer.socket.close();
+  scene.run(0.05);
+  if (connected_before) request_in_vain();
+  RawServer::send(*server->set_ups[0].connection,
+                  ScriptedServer::request(tag, "TEARDOWN", {{"Reason", "cause=16"}}));
+  scene.run(0.1);
+  if (!connected_before) request_in_vain();
+  RawClient &other = *scene.viewers.back();
+  CHECK(scene.until([&, tag = tag] { return PlatformScene::has_received(other, "FINISH", tag); }, 1));
+  CHECK(scene.front->viewers().counters().announcements_dropped == 0);
+}
+
+// Guards against sessions left standing, since too many end at one moment.
+TEST_CASE("platform: a burst of ends cuts the connection of a viewer that reads") {
+  constexpr std::size_t kSessions = 2000;
+  PlatformScene scene(1);
+  RawClient &viewer = scene.connect_viewer();
+  for (std::size_t i = 0; i < kSessions; ++i)
+    viewer.send(PlatformScene::start_line(scene.next_tag(), ";at:s-00000001"));
+  REQUIRE(scene.until([&] {
+    return scene.open_plays() == kSessions && scene.channel.connections.size() == 1 &&
+           scene.servers[0]->find_open();
+  }));
+  scene.send_on_channel(frame(2, 2, record(scene.record_of(1, *scene.servers[0], 2))));
+  scene.servers[0]->find_open()->socket.close();
+  CHECK(scene.until([&] { return viewer.count(R"("verb":"FINISH")") == kSessions; }));
+  CHECK_FALSE(viewer.closed);
+}
+
 TEST_CASE("platform: plays end in time where their server is down, was restarted, or left the list") {
   for (std::string event : {"died", "restarted", "left", "left and silent"}) {
     CAPTURE(event);
