A second connection to discovery is opened beside one that waits for its first answer

Cause: a connection that has brought nothing yet was given up after 2.2 s like one that has fallen silent, and each try had the same patience.

Fix: the waiting connection is kept beside the next one, and whichever is served first is used; one that waits is kept for 8 s at least, doubled with each that is given up.

--- a/src/discovery/client.h
+++ b/src/discovery/client.h
@@ -39,8 +39,32 @@
  private:
   enum class State { idle, connecting, connected, waiting_to_reconnect, closed };
   void set_state(State next);
+  // One connection to the channel. is_served: it has brought data.
+  struct Connection {
+    explicit Connection(asio::io_context &io) : socket(io) {}
+    asio::ip::tcp::socket socket;
+    std::array<char, 16384> buffer;
+    // The number of the last event, which is sent first.
+    std::array<unsigned char, 8> resume_number{};
+    bool is_served = false;
+    // Time of the steady clock.
+    double connected_at = 0;
+  };
+  using ConnectionRef = std::shared_ptr<Connection>;
+  bool is_in_use(const ConnectionRef &connection) const {
+    return connection && (connection == current_ || connection == overdue_);
+  }
+  static void close(ConnectionRef &connection);
   void connect();
-  void read();
+  void established(const ConnectionRef &connection);
+  void read(const ConnectionRef &connection);
+  // The first data of a connection: it becomes the current one, and the other is closed.
+  void served(const ConnectionRef &connection);
+  void data_received(const ConnectionRef &connection, std::size_t size);
+  void connection_failed(const ConnectionRef &connection, const char *why);
+  // The current connection is not served in time: it is kept beside the next one, unless an earlier one is.
+  // An earlier one is given up after a time that doubles each time.
+  void wait_beside();
   // Counts and logs the end of a connection, and schedules the next one.
   void disconnected(const char *why);
   void reconnect_later();
@@ -59,16 +83,16 @@
   Counters counters_;
   Events events_;
   FrameReader reader_;
-  asio::ip::tcp::socket socket_;
+  // overdue_: an earlier connection that has not been served yet, kept beside the current one.
+  ConnectionRef current_, overdue_;
   asio::steady_timer reconnect_timer_, check_timer_;
-  std::array<char, 16384> buffer_;
-  // The number of the last event, which is sent on each new connection.
-  std::array<unsigned char, 8> resume_number_{};
   State state_ = State::idle;
   // Tells the present connection from earlier ones, whose late callbacks are ignored.
   std::uint64_t connection_serial_ = 0;
   // Times of the steady clock.
   double data_received_at_ = 0, connect_started_at_ = 0;
+  // Seconds for which an overdue connection is kept.
+  double patience_;
   // Servers changed by the events in the latest received bytes.
   std::vector<edge::ListedServer> changed_servers_;
   // changed_: these events changed the list. is_full_list_: they replaced it. gap_: events are missing.
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -200,6 +200,46 @@
   CHECK(lists.back().version == 3);
 }
 
+// Guards against a channel that always takes longer for its first answer than a connection is waited for.
+TEST_CASE("channel: a first answer that takes longer than silence may is never heard", "[slow]") {
+  struct Row {
+    // Seconds from the request to the first frame, on the first connection and on later ones.
+    double first, later;
+    // Seconds in which the client has to be told.
+    double told_within;
+  };
+  for (Row row : {Row{2.8, 2.8, 3.3}, Row{3.9, 3.9, 4.4}, Row{6, 6, 6.5}, Row{100, 0.5, 4}}) {
+    CAPTURE(row.first, row.later);
+    asio::io_context io;
+    telemetry::Log log("/dev/null");
+    RawServer channel(io);
+    std::vector<std::unique_ptr<asio::steady_timer>> timers;
+    channel.on_data = [&](RawServer::Connection &connection) {
+      if (connection.received.size() != 8) return;
+      double delay = timers.empty() ? row.first : row.later;
+      timers.push_back(
+          std::make_unique<asio::steady_timer>(io, std::chrono::milliseconds(static_cast<int>(delay * 1e3))));
+      timers.back()->async_wait([&connection](asio::error_code error) {
+        if (!error) RawServer::send(connection, frame(1, 2, record(1)));
+      });
+    };
+    discovery::Client client(io, channel.acceptor.local_endpoint(), kNames, discovery::List(), 7, log);
+    edge::ListSource::Events events;
+    int changes = 0;
+    events.list = [](edge::ServerList) {};
+    events.changes = [&](edge::ServerList) { ++changes; };
+    events.unavailable = [](const std::string &) {};
+    client.start(std::move(events));
+    CHECK(run_until(
+        io, [&] { return changes == 1; }, row.told_within));
+    // It stays on the connection that was served.
+    std::size_t connections = channel.connections.size();
+    run_for(io, 1.5);
+    CHECK(channel.connections.size() == connections);
+    CHECK(changes == 1);
+  }
+}
+
 // Guards against a connect timeout below one second: while a listener's queue is full, a handshake completes
 // only at the system's retransmission, a second later.
 TEST_CASE("channel: a connection that takes a second to be established is not given up before") {
