--- a/src/soak/faulty_stream.cpp
+++ b/src/soak/faulty_stream.cpp
@@ -121,13 +121,19 @@
 }
 
 Listener::Listener(asio::io_context &io, asio::ip::address_v4 address, OnAccept on_accept)
-    : io_(io), acceptor_(io), endpoint_(address, 0), on_accept_(std::move(on_accept)) {}
+    : io_(io), acceptor_(io), reservation_(io), endpoint_(address, 0), on_accept_(std::move(on_accept)) {}
+
+void Listener::bind(asio::ip::tcp::acceptor &acceptor) {
+  acceptor.open(endpoint_.protocol());
+  acceptor.set_option(asio::socket_base::reuse_address(true));
+  acceptor.bind(endpoint_);
+}
 
 void Listener::listen() {
   if (acceptor_.is_open()) return;
-  acceptor_.open(endpoint_.protocol());
-  acceptor_.set_option(asio::socket_base::reuse_address(true));
-  acceptor_.bind(endpoint_);
+  asio::error_code ignored;
+  bind(acceptor_);
+  reservation_.close(ignored);
   acceptor_.listen(kBacklog);
   endpoint_ = acceptor_.local_endpoint();
   accept();
@@ -137,7 +143,9 @@
   asio::error_code ignored;
   backlog_fillers_.clear();
   stalled_ = false;
+  if (!acceptor_.is_open()) return;
   acceptor_.close(ignored);
+  bind(reservation_);
 }
 
 // While the accept queue is full, the system drops the SYNs of further connections, which the other side's
--- a/tests/discovery/test_discovery.cpp
+++ b/tests/discovery/test_discovery.cpp
@@ -136,6 +136,15 @@
   }
 }
 
+// Counts the changes that a client passes on.
+static edge::ListSource::Events count_changes(int &changes) {
+  edge::ListSource::Events events;
+  events.list = [](edge::ServerList) {};
+  events.changes = [&changes](edge::ServerList) { ++changes; };
+  events.unavailable = [](const std::string &) {};
+  return events;
+}
+
 // Guards against lost or doubled events after a disconnection inside a frame, a repeated event, a silent
 // channel, a change of the channel's address, and a missing event.
 TEST_CASE("channel: disconnections, silence, repeats, gaps and a new address lose and double no event") {
@@ -224,12 +233,8 @@
       });
     };
     discovery::Client client(io, channel.acceptor.local_endpoint(), kNames, discovery::List(), 7, log);
-    edge::ListSource::Events events;
     int changes = 0;
-    events.list = [](edge::ServerList) {};
-    events.changes = [&](edge::ServerList) { ++changes; };
-    events.unavailable = [](const std::string &) {};
-    client.start(std::move(events));
+    client.start(count_changes(changes));
     CHECK(run_until(
         io, [&] { return changes == 1; }, row.told_within));
     // It stays on the connection that was served.
@@ -254,12 +259,8 @@
   }
   run_for(io, 0.05);
   discovery::Client client(io, channel.local_endpoint(), kNames, discovery::List(), 7, log);
-  edge::ListSource::Events events;
   int changes = 0;
-  events.list = [](edge::ServerList) {};
-  events.changes = [&](edge::ServerList) { ++changes; };
-  events.unavailable = [](const std::string &) {};
-  client.start(std::move(events));
+  client.start(count_changes(changes));
   run_for(io, 0.8);
   // From now on the queue has room, so the connection is established.
   ::listen(channel.native_handle(), 64);
