A stopped listener of the soak goes on where its port cannot be reserved at once

Cause: the reservation of binds at once after the listening socket is closed, but a front end's process that is being started holds a copy of that socket between fork and close_range.

Change: then the port is not reserved, as before.

--- a/src/soak/faulty_stream.cpp
+++ b/src/soak/faulty_stream.cpp
@@ -123,16 +123,17 @@
 Listener::Listener(asio::io_context &io, asio::ip::address_v4 address, OnAccept on_accept)
     : io_(io), acceptor_(io), reservation_(io), endpoint_(address, 0), on_accept_(std::move(on_accept)) {}
 
-void Listener::bind(asio::ip::tcp::acceptor &acceptor) {
+void Listener::bind(asio::ip::tcp::acceptor &acceptor, asio::error_code &error) {
   acceptor.open(endpoint_.protocol());
   acceptor.set_option(asio::socket_base::reuse_address(true));
-  acceptor.bind(endpoint_);
+  acceptor.bind(endpoint_, error);
 }
 
 void Listener::listen() {
   if (acceptor_.is_open()) return;
-  asio::error_code ignored;
-  bind(acceptor_);
+  asio::error_code error, ignored;
+  bind(acceptor_, error);
+  if (error) throw asio::system_error(error, "bind");
   reservation_.close(ignored);
   acceptor_.listen(kBacklog);
   endpoint_ = acceptor_.local_endpoint();
@@ -145,7 +146,10 @@
   stalled_ = false;
   if (!acceptor_.is_open()) return;
   acceptor_.close(ignored);
-  bind(reservation_);
+  // A front end's process that is being started holds a copy of the listening socket for a moment.
+  asio::error_code error;
+  bind(reservation_, error);
+  if (error) reservation_.close(ignored);
 }
 
 // While the accept queue is full, the system drops the SYNs of further connections, which the other side's
--- a/src/soak/faulty_stream.h
+++ b/src/soak/faulty_stream.h
@@ -81,8 +81,8 @@
   Listener(asio::io_context &io, asio::ip::address_v4 address, OnAccept on_accept);
   // Throws asio::system_error if the address can't be bound.
   void listen();
-  // Closes the listening socket, so that connections are refused. The port stays reserved, so that no other
-  // process gets it.
+  // Closes the listening socket, so that connections are refused. The port stays reserved where possible, so
+  // that no other process gets it.
   void stop();
   // While stalled, the listener neither completes nor refuses handshakes. Has no effect on one that is
   // stopped.
@@ -93,7 +93,7 @@
  private:
   void accept();
   // Binds the acceptor to the listener's address, beside one that is bound and does not listen.
-  void bind(asio::ip::tcp::acceptor &acceptor);
+  void bind(asio::ip::tcp::acceptor &acceptor, asio::error_code &error);
   asio::io_context &io_;
   // reservation_: bound to the port while the listener is stopped.
   asio::ip::tcp::acceptor acceptor_, reservation_;
