An end that waits goes to a viewers' connection that has room for it

Cause: the connection for ends was chosen first, and asked for room after that.

Fix: connection_for_end() takes the size and looks at connections with room only.

Test: 'platform: a viewer that never reads holds up the ends of others'; not run on the code before, whose call has another name and, by reading, returned the connection that was marked last. 18 cases of viewers' connections pass.

--- a/src/jsonlines/server.cpp
+++ b/src/jsonlines/server.cpp
@@ -394,9 +394,15 @@
   if (auto it = connections_.find(id); it != connections_.end()) it->second->requested = true;
 }
 
-std::optional<Server::ConnectionId> Server::connection_for_ends() const {
-  if (auto trusted = latest_trusted()) return trusted;
-  return latest_heard([](const Connection &connection) { return connection.requested; });
+std::optional<Server::ConnectionId> Server::connection_for_end(std::size_t bytes) const {
+  if (auto trusted = latest_trusted(); trusted && has_room_for_end(*trusted, bytes)) return trusted;
+  auto with_room = [&](bool Connection::*quality) {
+    return latest_heard([&](const Connection &connection) {
+      return connection.*quality && has_room_for_end(connection.id, bytes);
+    });
+  };
+  auto trusted = with_room(&Connection::trusted);
+  return trusted ? trusted : with_room(&Connection::requested);
 }
 
 bool Server::has_room_for_end(ConnectionId id, std::size_t bytes) const {
--- a/src/jsonlines/server.h
+++ b/src/jsonlines/server.h
@@ -85,9 +85,10 @@
   std::optional<ConnectionId> latest_trusted() const;
   // Marks the connection as one on which a viewer has made a request, whatever the answer was.
   void mark_requested(ConnectionId id);
-  // Returns latest_trusted() or, where there is none, the active connection with a request of a viewer that
-  // was heard from most recently.
-  std::optional<ConnectionId> connection_for_ends() const;
+  // Returns the connection that an end of so many bytes may be sent on, where its own cannot carry it: a
+  // trusted one with room for it or, where there is none, one with a request of a viewer. Prefers
+  // latest_trusted(), then the connection that was heard from most recently.
+  std::optional<ConnectionId> connection_for_end(std::size_t bytes) const;
   // Returns whether so many further bytes leave half of what the connection may have unsent to its answers.
   bool has_room_for_end(ConnectionId id, std::size_t bytes) const;
   // Stops reading and closes the connection once everything is sent.
--- a/src/platform/viewer_gateway.cpp
+++ b/src/platform/viewer_gateway.cpp
@@ -336,7 +336,7 @@
 }
 
 void ViewerGateway::announce(Connection to, std::uint64_t tag, std::string line) {
-  for (auto connection : {std::optional(to), server_->connection_for_ends()}) {
+  for (auto connection : {std::optional(to), server_->connection_for_end(line.size())}) {
     if (connection && send_unconfirmed(*connection, tag, line)) return;
   }
   ++counters_.announced_later;
@@ -364,7 +364,7 @@
     if (next.expires_at < core_->clock().now()) {
       ++counters_.announcements_dropped;
     } else {
-      auto to = server_->connection_for_ends();
+      auto to = server_->connection_for_end(next.line.size());
       if (!to || !send_unconfirmed(*to, next.tag, next.line)) return retry_deferred_lines();
     }
     deferred_lines_.pop_front();
@@ -373,7 +373,7 @@
 
 void ViewerGateway::retry_deferred_lines() {
   // Without a connection, the next request on one sends them.
-  if (is_retry_scheduled_ || !server_->connection_for_ends()) return;
+  if (is_retry_scheduled_ || deferred_lines_.empty() || server_->connections() == 0) return;
   is_retry_scheduled_ = true;
   deferred_timer_.expires_after(telemetry::to_timer_duration(kDeferredRetryInterval));
   deferred_timer_.async_wait([this](asio::error_code error) {
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -356,6 +356,36 @@
   CHECK_FALSE(viewer.closed);
 }
 
+// Guards against ends that wait behind a viewer that does not read, although another connection has room.
+TEST_CASE("platform: a viewer that never reads holds up the ends of others") {
+  constexpr int kSessions = 400;
+  asio::io_context io;
+  jsonlines::Limits limits;
+  limits.connections = 8;
+  limits.unsent_bytes = 32 * 1024;
+  limits.buffered_bytes = 1 << 20;
+  std::vector<jsonlines::Server::ConnectionId> ids;
+  jsonlines::Server::Events events;
+  std::unique_ptr<jsonlines::Server> server;
+  events.on_line = [&](jsonlines::Server::ConnectionId from, std::string_view) {
+    ids.push_back(from);
+    server->mark_trusted(from);
+  };
+  events.on_closed = [](jsonlines::Server::ConnectionId, const char *) {};
+  server = std::make_unique<jsonlines::Server>(io, loopback(), limits, std::move(events));
+  RawClient reader(io, server->local_endpoint()), deaf(io, server->local_endpoint());
+  reader.send("{}\n");
+  REQUIRE(run_until(io, [&] { return ids.size() == 1; }));
+  deaf.send("{}\n");
+  REQUIRE(run_until(io, [&] { return ids.size() == 2; }));
+  // No turn of the loop: what is sent now stays unsent.
+  std::string line(64, 'x');
+  for (int i = 0; i < kSessions && server->has_room_for_end(ids[1], line.size()); ++i)
+    REQUIRE(server->send(ids[1], line));
+  REQUIRE_FALSE(server->has_room_for_end(ids[1], line.size()));
+  CHECK(server->connection_for_end(line.size()) == ids[0]);
+}
+
 TEST_CASE("platform: plays end in time where their server is down, was restarted, or left the list") {
   for (std::string event : {"died", "restarted", "left", "left and silent"}) {
     CAPTURE(event);
